Set the frame: kernel, verdict, requests and the borders of each part

Cause: the parts are to be built side by side, so their borders come first. Ruled out: one message enum for every call between services. A lookup by name with a downcast gives the same separation with plain method calls. Conclusion: the parts can be built against these types.

--- /dev/null
+++ b/src/bin/dragonflylugd.rs
@@ -0,0 +1,3 @@
+//! The daemon.
+
+fn main() {}
--- /dev/null
+++ b/src/kernel/registry.rs
@@ -0,0 +1,52 @@
+//! The services of a node, found by name.
+
+use std::any::Any;
+
+use super::{Context, Event};
+use crate::sorted::SortedMap;
+
+/// One part of a node: a state machine that handles events.
+pub trait Service: Any + Send {
+    /// Returns the name that other services find this one by.
+    fn name(&self) -> &'static str;
+
+    /// Handles one event.
+    fn handle(&mut self, context: &mut Context<'_>, event: Event);
+}
+
+/// The registered services; a service that runs at present leaves its place empty.
+#[derive(Default)]
+pub(super) struct Registry {
+    services: SortedMap<&'static str, Option<Box<dyn Service>>>,
+}
+
+impl Registry {
+    pub(super) fn insert(&mut self, service: Box<dyn Service>) {
+        self.services.insert(service.name(), Some(service));
+    }
+
+    pub(super) fn names(&self) -> Vec<&'static str> {
+        self.services.keys().copied().collect()
+    }
+
+    pub(super) fn take(&mut self, name: &'static str) -> Option<Box<dyn Service>> {
+        self.services.get_mut(&name)?.take()
+    }
+
+    pub(super) fn put_back(&mut self, service: Box<dyn Service>) {
+        if let Some(place) = self.services.get_mut(&service.name()) {
+            *place = Some(service);
+        }
+    }
+
+    pub(super) fn find<T: Service>(&mut self, name: &str) -> Option<&mut T> {
+        for (key, place) in self.services.iter_mut() {
+            if *key != name {
+                continue;
+            }
+            let service: &mut dyn Any = place.as_deref_mut()?;
+            return service.downcast_mut();
+        }
+        None
+    }
+}
--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,25 @@
+//! Overload control for service call graphs.
+//!
+//! Every decision is a state machine without clock, thread, socket or lock: see [`kernel`]. The
+//! daemon hosts these machines; another program can host them too.
+
+mod derives;
+
+pub mod admission;
+pub mod calls;
+pub mod config;
+pub mod ids;
+pub mod kernel;
+pub mod membership;
+pub mod metrics;
+pub mod operator;
+pub mod peer;
+pub mod request;
+pub mod retry;
+pub mod routing;
+pub mod run_once;
+pub mod settings;
+pub mod sorted;
+pub mod table;
+pub mod target;
+pub mod verdict;
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The operators' command.
+
+fn main() {}
--- /dev/null
+++ b/src/metrics.rs
@@ -0,0 +1,91 @@
+//! Counters, by name and one label.
+
+use macro_rules_attribute::apply;
+
+use crate::derives::value;
+use crate::verdict::{DoubtReason, RefusalReason};
+
+/// A counter that only grows.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Counter {
+    /// The metric's name without prefix.
+    pub name: &'static str,
+    /// The label, where the metric has one.
+    pub label: Option<Label>,
+}
+
+/// A label of a counter.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Label {
+    /// The label's name.
+    pub name: &'static str,
+    /// The label's value.
+    pub value: &'static str,
+}
+
+/// Why a request was tried again.
+#[apply(value!)]
+pub enum RetryReason {
+    /// The guard refused and another target may take the request.
+    Refused,
+    /// No connection to the guard could be made.
+    Unreachable,
+    /// The connection was lost and the request is idempotent.
+    ConnectionLost,
+    /// The answer was cut or altered and the request is idempotent.
+    BrokenAnswer,
+    /// A slow answer was hedged.
+    Hedge,
+    /// The answer is asked again from the daemon that keeps it; nothing runs twice.
+    KeptAnswer,
+}
+
+impl RetryReason {
+    /// Returns the code used in metrics.
+    pub fn code(self) -> &'static str {
+        match self {
+            Self::Refused => "refused",
+            Self::Unreachable => "unreachable",
+            Self::ConnectionLost => "connection_lost",
+            Self::BrokenAnswer => "broken_answer",
+            Self::Hedge => "hedge",
+            Self::KeptAnswer => "kept_answer",
+        }
+    }
+}
+
+impl Counter {
+    /// Makes a counter without a label.
+    pub const fn plain(name: &'static str) -> Self {
+        Self { name, label: None }
+    }
+
+    /// Makes a counter with a label.
+    pub const fn labelled(name: &'static str, label: &'static str, value: &'static str) -> Self {
+        Self {
+            name,
+            label: Some(Label { name: label, value }),
+        }
+    }
+
+    /// Counts a refusal by its reason.
+    pub fn refused(reason: RefusalReason) -> Self {
+        Self::labelled("refusals", "reason", reason.code())
+    }
+
+    /// Counts an outcome that is not known, by its reason.
+    pub fn doubted(reason: DoubtReason) -> Self {
+        Self::labelled("doubts", "reason", reason.code())
+    }
+
+    /// Counts a further try by its reason.
+    pub fn retried(reason: RetryReason) -> Self {
+        Self::labelled("retries", "reason", reason.code())
+    }
+}
+
+/// A place that counters are added to.
+pub trait MetricSink: Send + Sync {
+    /// Adds to a counter.
+    fn add(&self, counter: Counter, by: u64);
+}
--- /dev/null
+++ b/src/peer.rs
@@ -0,0 +1,50 @@
+//! The questions and answers between daemons.
+
+use macro_rules_attribute::apply;
+
+use crate::derives::message;
+use crate::request::{PeerCall, PeerReply};
+use crate::run_once::{TicketBlock, TicketRequest, VoidOutcome, VoidRequest};
+use crate::{calls, config, membership, run_once};
+
+/// A question from one daemon to another.
+#[apply(message!)]
+pub enum PeerQuestion {
+    /// Run a request on the target beside you.
+    Call(Box<PeerCall>),
+    /// Issue tickets for requests that you will run at most once.
+    Tickets(TicketRequest),
+    /// Make a ticket void if its request was not sent to the target.
+    Void(VoidRequest),
+    /// A membership message.
+    Membership(membership::Message),
+    /// A configuration message.
+    Config(config::Message),
+}
+
+impl PeerQuestion {
+    /// Returns the name of the service that answers.
+    pub fn service(&self) -> &'static str {
+        match self {
+            Self::Call(_) => calls::NAME,
+            Self::Tickets(_) | Self::Void(_) => run_once::NAME,
+            Self::Membership(_) => membership::NAME,
+            Self::Config(_) => config::NAME,
+        }
+    }
+}
+
+/// An answer to a [`PeerQuestion`].
+#[apply(message!)]
+pub enum PeerAnswer {
+    /// The reply to a call.
+    Call(Box<PeerReply>),
+    /// The tickets that were issued.
+    Tickets(TicketBlock),
+    /// What became of a ticket that was to be void.
+    Void(VoidOutcome),
+    /// A membership message.
+    Membership(membership::Message),
+    /// A configuration message.
+    Config(config::Message),
+}
--- /dev/null
+++ b/src/request.rs
@@ -0,0 +1,191 @@
+//! Requests and answers as they travel between callers, daemons and targets.
+
+use bytes::Bytes;
+use macro_rules_attribute::apply;
+
+use crate::derives::{message, value};
+use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, ServiceName};
+use crate::run_once::Ticket;
+
+/// An HTTP header that is passed on.
+#[apply(message!)]
+pub struct Header {
+    /// The name, in lower case.
+    pub name: String,
+    /// The value.
+    pub value: String,
+}
+
+/// An HTTP request for a target.
+#[apply(message!)]
+pub struct HttpRequest {
+    /// The method, in upper case.
+    pub method: String,
+    /// The path and query below the service, starting with `/`.
+    pub path: String,
+    /// The headers that are passed on.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Bytes,
+}
+
+/// A whole HTTP answer of a target.
+#[apply(message!)]
+pub struct Answer {
+    /// The HTTP status.
+    pub status: u16,
+    /// The headers that are passed on.
+    pub headers: Vec<Header>,
+    /// The whole body.
+    pub body: Bytes,
+    /// The xxh3 digest of status and body, made beside the target.
+    pub digest: u64,
+}
+
+impl Answer {
+    /// Makes an answer and its digest.
+    pub fn new(status: u16, headers: Vec<Header>, body: Bytes) -> Self {
+        let digest = Self::digest_of(status, &body);
+        Self {
+            status,
+            headers,
+            body,
+            digest,
+        }
+    }
+
+    /// Says whether the status and body are those that left the target.
+    pub fn is_whole(&self) -> bool {
+        self.digest == Self::digest_of(self.status, &self.body)
+    }
+
+    fn digest_of(status: u16, body: &[u8]) -> u64 {
+        xxhash_rust::xxh3::xxh3_64_with_seed(body, u64::from(status))
+    }
+}
+
+/// What a caller says about running its request at most once.
+#[apply(message!)]
+pub enum RunKey {
+    /// Nothing: the policy of the request decides.
+    None,
+    /// A ticket that one daemon issued and that only that daemon may run.
+    Ticket(Ticket),
+    /// An idempotency key of the caller's own, claimed in the platform's table.
+    Claim(ClaimKey),
+}
+
+/// A caller's idempotency key.
+#[apply(message!)]
+pub struct ClaimKey {
+    /// The key as the caller sent it.
+    pub key: String,
+    /// Whether the caller says that it never sent this key before.
+    pub is_first_try: bool,
+}
+
+/// A request as a caller or a target hands it to the daemon.
+#[apply(message!)]
+pub struct CallRequest {
+    /// The service that is called.
+    pub service: ServiceName,
+    /// The request for the target.
+    pub http: HttpRequest,
+    /// The caller's name for retry budgets.
+    pub caller: Caller,
+    /// The request's identifier; a repeat of the same request keeps it.
+    pub request: Option<RequestId>,
+    /// The request that this one is a child of, where a target calls.
+    pub parent: Option<RequestId>,
+    /// The time left until the caller gives up.
+    pub deadline_left_ms: Option<u32>,
+    /// The retries that the caller has left over from its own earlier tries.
+    pub retries_left: Option<u32>,
+    /// Whether the caller marks this as a repeat of an earlier try.
+    pub is_repeat: bool,
+    /// The at-most-once key.
+    pub run_key: RunKey,
+}
+
+/// A call from an entry daemon to the guard beside a target.
+#[apply(message!)]
+pub struct PeerCall {
+    /// The entry daemon.
+    pub from: MemberId,
+    /// The service that is called.
+    pub service: ServiceName,
+    /// The request, the same on each try.
+    pub request: RequestId,
+    /// The request at the root of the call graph.
+    pub root: RootId,
+    /// The number of calls between the root and this one.
+    pub depth: u8,
+    /// The importance of the request, never above that of its parent's root.
+    pub priority: Priority,
+    /// The time left until the caller gives up.
+    pub deadline_left_ms: u32,
+    /// The retries that calls below this one may spend.
+    pub retries: u32,
+    /// Whether the request may run more than once.
+    pub is_idempotent: bool,
+    /// The at-most-once key.
+    pub run_key: RunKey,
+    /// The entry daemon's configuration version.
+    pub config_version: u64,
+    /// The request for the target.
+    pub http: HttpRequest,
+}
+
+/// What a guard tells an entry daemon beside each verdict.
+#[apply(value!)]
+pub struct LoadReport {
+    /// Requests of at least this rank are admitted now.
+    pub threshold: Rank,
+    /// The requests at the target.
+    pub in_flight: u32,
+    /// The greatest number of requests that the guard sends to the target at once.
+    pub limit: u32,
+    /// The requests that wait at the guard.
+    pub queued: u32,
+    /// Whether the target is leaving.
+    pub is_leaving: bool,
+}
+
+/// The order in which requests are shed: the least first.
+#[apply(value!)]
+#[derive(Default)]
+pub struct Rank {
+    /// The importance of the request.
+    pub priority: Priority,
+    /// The rank of its root among roots of the same priority.
+    pub root_rank: u16,
+}
+
+impl Rank {
+    /// The least rank: a threshold that admits all.
+    pub const LEAST: Self = Self {
+        priority: Priority::Background,
+        root_rank: 0,
+    };
+
+    /// Makes the rank of a request.
+    pub fn new(priority: Priority, root: RootId) -> Self {
+        Self {
+            priority,
+            root_rank: root.shed_rank(),
+        }
+    }
+}
+
+/// A guard's reply to a call.
+#[apply(message!)]
+pub struct PeerReply {
+    /// The outcome.
+    pub verdict: crate::verdict::Verdict,
+    /// The retries that were handed down and not spent.
+    pub retries_unspent: u32,
+    /// The guard's present load.
+    pub load: LoadReport,
+    /// The guard's configuration version.
+    pub config_version: u64,
+}
--- /dev/null
+++ b/src/settings.rs
@@ -0,0 +1,1 @@
+//! The settings of a daemon, read from a JSON file.
--- /dev/null
+++ b/src/sorted.rs
@@ -0,0 +1,123 @@
+//! A map kept as a sorted vector and read by binary search.
+
+/// A map from `K` to `V` in ascending order of `K`.
+///
+/// ```
+/// let mut map = dragonflylug::sorted::SortedMap::default();
+/// map.insert(2, "b");
+/// map.insert(1, "a");
+/// assert_eq!(map.get(&1), Some(&"a"));
+/// assert_eq!(map.keys().copied().collect::<Vec<_>>(), [1, 2]);
+/// ```
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct SortedMap<K, V> {
+    entries: Vec<(K, V)>,
+}
+
+impl<K, V> Default for SortedMap<K, V> {
+    fn default() -> Self {
+        Self {
+            entries: Vec::new(),
+        }
+    }
+}
+
+impl<K: Ord, V> SortedMap<K, V> {
+    fn position(&self, key: &K) -> Result<usize, usize> {
+        self.entries.binary_search_by(|(probe, _)| probe.cmp(key))
+    }
+
+    /// Inserts a value and returns the one it replaces.
+    pub fn insert(&mut self, key: K, value: V) -> Option<V> {
+        match self.position(&key) {
+            Ok(at) => Some(std::mem::replace(&mut self.entries[at].1, value)),
+            Err(at) => {
+                self.entries.insert(at, (key, value));
+                None
+            }
+        }
+    }
+
+    /// Returns the value of a key.
+    pub fn get(&self, key: &K) -> Option<&V> {
+        let at = self.position(key).ok()?;
+        Some(&self.entries[at].1)
+    }
+
+    /// Returns the value of a key for change in place.
+    pub fn get_mut(&mut self, key: &K) -> Option<&mut V> {
+        let at = self.position(key).ok()?;
+        Some(&mut self.entries[at].1)
+    }
+
+    /// Returns the value of a key, inserting `make()` first where there is none.
+    pub fn get_or_insert_with(&mut self, key: K, make: impl FnOnce() -> V) -> &mut V {
+        let at = match self.position(&key) {
+            Ok(at) => at,
+            Err(at) => {
+                self.entries.insert(at, (key, make()));
+                at
+            }
+        };
+        &mut self.entries[at].1
+    }
+
+    /// Removes a key and returns its value.
+    pub fn remove(&mut self, key: &K) -> Option<V> {
+        let at = self.position(key).ok()?;
+        Some(self.entries.remove(at).1)
+    }
+
+    /// Says whether the map holds a key.
+    pub fn contains_key(&self, key: &K) -> bool {
+        self.position(key).is_ok()
+    }
+
+    /// Keeps the entries for which `keep` returns true.
+    pub fn retain(&mut self, mut keep: impl FnMut(&K, &mut V) -> bool) {
+        self.entries.retain_mut(|(key, value)| keep(key, value));
+    }
+
+    /// Removes and returns the entry with the least key.
+    pub fn pop_first(&mut self) -> Option<(K, V)> {
+        if self.entries.is_empty() {
+            return None;
+        }
+        Some(self.entries.remove(0))
+    }
+
+    /// Returns the entry at a position in key order.
+    pub fn entry_at(&self, at: usize) -> Option<(&K, &V)> {
+        self.entries.get(at).map(|(key, value)| (key, value))
+    }
+
+    /// Returns the entries in key order.
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = (&K, &V)> {
+        self.entries.iter().map(|(key, value)| (key, value))
+    }
+
+    /// Returns the entries in key order, the values for change in place.
+    pub fn iter_mut(&mut self) -> impl DoubleEndedIterator<Item = (&K, &mut V)> {
+        self.entries.iter_mut().map(|(key, value)| (&*key, value))
+    }
+
+    /// Returns the keys in order.
+    pub fn keys(&self) -> impl DoubleEndedIterator<Item = &K> {
+        self.entries.iter().map(|(key, _)| key)
+    }
+
+    /// Returns the values in key order.
+    pub fn values(&self) -> impl DoubleEndedIterator<Item = &V> {
+        self.entries.iter().map(|(_, value)| value)
+    }
+
+    /// Returns the number of entries.
+    pub fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    /// Says whether the map is empty.
+    pub fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+}
--- /dev/null
+++ b/src/verdict.rs
@@ -0,0 +1,157 @@
+//! The outcome of a request: whether it ran, did not run, or may have run.
+
+use macro_rules_attribute::apply;
+
+use crate::derives::{message, value};
+use crate::request::Answer;
+
+/// The outcome of a request at each border: caller, peer and target.
+#[apply(message!)]
+pub enum Verdict {
+    /// The request ran and this is its whole answer.
+    Ran(Answer),
+    /// The request did not run and will not run.
+    NotRun(Refusal),
+    /// The request may have run; no whole answer is at hand.
+    MayHaveRun(Doubt),
+}
+
+/// A final refusal: the request did not run.
+#[apply(value!)]
+pub struct Refusal {
+    /// Why the request was refused.
+    pub reason: RefusalReason,
+    /// The time after which another try may succeed.
+    pub retry_after_ms: u32,
+    /// Whether another target of the same service could take the request now.
+    pub is_elsewhere_worthwhile: bool,
+}
+
+/// An outcome that is not known.
+#[apply(value!)]
+pub struct Doubt {
+    /// Why the outcome is not known.
+    pub reason: DoubtReason,
+    /// The time after which another try may succeed.
+    pub retry_after_ms: u32,
+}
+
+macro_rules! reasons {
+    ($(#[$doc:meta])* $name:ident { $($(#[$variant_doc:meta])* $variant:ident => $code:literal,)* }) => {
+        $(#[$doc])*
+        #[apply(value!)]
+        #[serde(rename_all = "snake_case")]
+        pub enum $name { $($(#[$variant_doc])* $variant,)* }
+
+        impl $name {
+            /// All reasons, in the order of their declaration.
+            pub const ALL: &'static [Self] = &[$(Self::$variant,)*];
+
+            /// Returns the code used in headers, JSON and metrics.
+            pub fn code(self) -> &'static str {
+                match self { $(Self::$variant => $code,)* }
+            }
+        }
+    };
+}
+
+reasons! {
+    /// Why a request was refused without running.
+    RefusalReason {
+        /// The queue was full or a more important request took the place.
+        Overload => "overload",
+        /// An entry daemon refused what the guard's threshold would refuse.
+        Threshold => "threshold",
+        /// The request could not finish before its deadline.
+        Deadline => "deadline",
+        /// The caller went away before the request was sent to the target.
+        Cancelled => "cancelled",
+        /// The caller's retry budget is spent.
+        RetryBudget => "retry_budget",
+        /// The target is leaving or the daemon is stopping.
+        Leaving => "leaving",
+        /// The target beside the daemon is not ready.
+        TargetNotReady => "target_not_ready",
+        /// No target of the service is known.
+        NoTarget => "no_target",
+        /// The service is not known.
+        UnknownService => "unknown_service",
+        /// The target could not be reached: nothing was sent.
+        Unreachable => "unreachable",
+        /// The request must carry a ticket or an idempotency key; the answer hands out a ticket.
+        TicketNeeded => "ticket_needed",
+        /// The ticket was void: it was refused before.
+        TicketVoid => "ticket_void",
+        /// The platform's table cannot be reached, so a claim cannot be made.
+        TableUnavailable => "table_unavailable",
+        /// Another daemon holds the claim and runs the request.
+        ClaimedElsewhere => "claimed_elsewhere",
+        /// The request is malformed.
+        BadRequest => "bad_request",
+        /// The body is larger than the setting allows.
+        TooLarge => "too_large",
+        /// The daemon has no room for another connection or call.
+        Connections => "connections",
+    }
+}
+
+reasons! {
+    /// Why the outcome of a request is not known.
+    DoubtReason {
+        /// The connection was lost after the request may have been sent.
+        ConnectionLost => "connection_lost",
+        /// The deadline passed while the request was running.
+        Deadline => "deadline",
+        /// The answer was cut or altered.
+        BrokenAnswer => "broken_answer",
+        /// The issuer of the ticket is gone.
+        IssuerGone => "issuer_gone",
+        /// The issuer of the ticket cannot be reached now.
+        IssuerUnreachable => "issuer_unreachable",
+        /// The kept answer was dropped; the request ran or was under way.
+        AnswerDropped => "answer_dropped",
+        /// The claim is held by a run whose outcome is not known.
+        ClaimHeld => "claim_held",
+        /// The platform's table cannot say whether the request ran before.
+        TableUnavailable => "table_unavailable",
+        /// The caller cancelled the request while it was running.
+        Cancelled => "cancelled",
+    }
+}
+
+impl Verdict {
+    /// Makes a refusal that another target would repeat.
+    pub fn not_run(reason: RefusalReason, retry_after_ms: u32) -> Self {
+        Self::NotRun(Refusal {
+            reason,
+            retry_after_ms,
+            is_elsewhere_worthwhile: false,
+        })
+    }
+
+    /// Makes a refusal that another target of the service may not repeat.
+    pub fn not_run_here(reason: RefusalReason, retry_after_ms: u32) -> Self {
+        Self::NotRun(Refusal {
+            reason,
+            retry_after_ms,
+            is_elsewhere_worthwhile: true,
+        })
+    }
+
+    /// Makes an outcome that is not known.
+    pub fn may_have_run(reason: DoubtReason, retry_after_ms: u32) -> Self {
+        Self::MayHaveRun(Doubt {
+            reason,
+            retry_after_ms,
+        })
+    }
+
+    /// Returns the name used in the verdict header.
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Ran(_) => "ran",
+            Self::NotRun(_) => "not-run",
+            Self::MayHaveRun(_) => "may-have-run",
+        }
+    }
+}
--- /dev/null
+++ b/standins/src/lib.rs
@@ -0,0 +1,1 @@
+//! Small stand-ins for the platform and the targets.
