--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,11 +1,21 @@
 //! Admission: which requests are sent to the target, wait or are refused.
 
+mod limit;
+mod queue;
+mod service_time;
+mod threshold;
+
 use macro_rules_attribute::apply;
 
-use crate::derives::value;
-use crate::ids::CallKey;
-use crate::request::Rank;
-use crate::verdict::Refusal;
+use crate::derives::{settings, value};
+use crate::ids::{CallKey, Priority};
+use crate::kernel::{Context, Event, Notice, Service};
+use crate::request::{LoadReport, Rank};
+use crate::sorted::SortedMap;
+use crate::verdict::{Refusal, RefusalReason};
+use limit::Limit;
+use queue::{Queue, Waiting};
+use service_time::ServiceTime;
 
 /// The name of the admission service.
 pub const NAME: &str = "admission";
@@ -30,6 +40,15 @@
     pub refusal: Refusal,
 }
 
+/// What becomes of an arrival, and of a queued call whose place it takes.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Offer {
+    /// What becomes of the arrival.
+    pub outcome: Admitted,
+    /// Queued calls that are refused now.
+    pub evicted: Vec<Evicted>,
+}
+
 /// What becomes of an arrival.
 #[apply(value!)]
 pub enum Admitted {
@@ -60,3 +79,293 @@
     /// It was cancelled.
     Cancelled,
 }
+
+/// What a cancellation found.
+#[apply(value!)]
+pub enum CancelOutcome {
+    /// The call was queued and will not be sent.
+    RemovedFromQueue,
+    /// The call is at the target; it counts until it is finished.
+    InFlight,
+    /// The call is neither queued nor at the target.
+    Unknown,
+}
+
+/// Settings of admission.
+#[apply(settings!)]
+pub struct AdmissionSettings {
+    /// The greatest number of queued calls.
+    pub queue_len_max: u32,
+    /// The greatest time that a queued call is expected to wait.
+    pub queue_wait_max_ms: u32,
+    /// The least concurrency limit, where the target has that many slots.
+    pub limit_min: u32,
+    /// The greatest share of the limit that background calls may hold.
+    pub background_share_max_percent: u32,
+}
+
+impl Default for AdmissionSettings {
+    fn default() -> Self {
+        Self {
+            queue_len_max: 1_000,
+            queue_wait_max_ms: 200,
+            limit_min: 2,
+            background_share_max_percent: 25,
+        }
+    }
+}
+
+/// The shortest time after which a refused caller is asked to come back.
+const RETRY_AFTER_MIN_MS: u32 = 10;
+/// The longest time after which a refused caller is asked to come back.
+const RETRY_AFTER_MAX_MS: u32 = 10_000;
+
+/// A call at the target.
+struct Running {
+    started_us: u64,
+    priority: Priority,
+}
+
+/// Decides which calls are sent to the target beside the daemon, wait or are refused.
+pub struct Admission {
+    settings: AdmissionSettings,
+    limit: Limit,
+    queue: Queue,
+    running: SortedMap<CallKey, Running>,
+    background_running: u32,
+    service_time: ServiceTime,
+    next_sequence: u64,
+}
+
+impl Admission {
+    /// Makes an admission for a target that has no slots yet.
+    pub fn new(settings: AdmissionSettings) -> Self {
+        let limit = Limit::new(settings.limit_min);
+        Self {
+            settings,
+            limit,
+            queue: Queue::default(),
+            running: SortedMap::default(),
+            background_running: 0,
+            service_time: ServiceTime::default(),
+            next_sequence: 0,
+        }
+    }
+
+    /// Sets the slots that the target announced.
+    pub fn set_slots(&mut self, now_us: u64, slots: u32) {
+        self.limit.set_slots(now_us, slots);
+    }
+
+    /// Decides on an arrival.
+    pub fn offer(&mut self, now_us: u64, arrival: Arrival) -> Offer {
+        if self.limit.current() == 0 {
+            let refusal = self.refusal(now_us, RefusalReason::TargetNotReady);
+            return Offer::refused(refusal);
+        }
+        if !self.can_finish(now_us, 0, arrival.deadline_us) {
+            let refusal = self.refusal(now_us, RefusalReason::Deadline);
+            return Offer::refused(refusal);
+        }
+        if self.has_room_for(arrival.rank.priority) && !self.queue.outranks(arrival.rank) {
+            self.start(now_us, arrival.call, arrival.rank.priority);
+            return Offer {
+                outcome: Admitted::Start,
+                evicted: Vec::new(),
+            };
+        }
+        self.enqueue(now_us, arrival)
+    }
+
+    /// Takes in the end of a call at the target.
+    pub fn finish(&mut self, now_us: u64, call: CallKey, ended: Ended) -> Released {
+        let Some(running) = self.running.remove(&call) else {
+            return Released::default();
+        };
+        if running.priority == Priority::Background {
+            self.background_running -= 1;
+        }
+        let elapsed_us = now_us.saturating_sub(running.started_us);
+        self.service_time.record(now_us, elapsed_us, ended);
+        self.release(now_us)
+    }
+
+    /// Cancels a call whose caller gave up.
+    pub fn cancel(&mut self, _now_us: u64, call: CallKey) -> CancelOutcome {
+        if self.queue.remove(call) {
+            return CancelOutcome::RemovedFromQueue;
+        }
+        if self.running.contains_key(&call) {
+            return CancelOutcome::InFlight;
+        }
+        CancelOutcome::Unknown
+    }
+
+    /// Refuses queued calls that can no longer finish in time and starts those that have room.
+    pub fn expire(&mut self, now_us: u64) -> Released {
+        self.release(now_us)
+    }
+
+    /// Returns the time at which [`Admission::expire`] has something to do.
+    pub fn next_expiry_us(&self) -> Option<u64> {
+        let first = self.queue.first()?;
+        if self.has_room_for(first.rank.priority) {
+            return Some(0);
+        }
+        let deadline_us = self.queue.earliest_deadline_us()?;
+        Some(deadline_us.saturating_sub(self.service_time.latest_us()))
+    }
+
+    /// Returns what entry daemons are told of this guard's load.
+    pub fn load(&self) -> LoadReport {
+        LoadReport {
+            threshold: threshold::threshold(&self.queue, self.queue_len_bound()),
+            in_flight: self.in_flight(),
+            limit: self.limit.current(),
+            queued: self.queue.len(),
+            is_leaving: false,
+        }
+    }
+
+    fn in_flight(&self) -> u32 {
+        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
+    }
+
+    /// Says whether a call of a priority may be sent to the target now.
+    fn has_room_for(&self, priority: Priority) -> bool {
+        let limit = self.limit.current();
+        if self.in_flight() >= limit {
+            return false;
+        }
+        if priority > Priority::Background {
+            return true;
+        }
+        self.background_running < self.background_max(limit)
+    }
+
+    /// Background calls leave at least one slot to others.
+    fn background_max(&self, limit: u32) -> u32 {
+        let share = limit * self.settings.background_share_max_percent / 100;
+        share.max(1).min(limit.saturating_sub(1))
+    }
+
+    fn start(&mut self, now_us: u64, call: CallKey, priority: Priority) {
+        if priority == Priority::Background {
+            self.background_running += 1;
+        }
+        let running = Running {
+            started_us: now_us,
+            priority,
+        };
+        self.running.insert(call, running);
+    }
+
+    /// Says whether a call that starts after a wait is expected to end before its deadline.
+    fn can_finish(&self, now_us: u64, wait_us: u64, deadline_us: u64) -> bool {
+        let ends_us = now_us
+            .saturating_add(wait_us)
+            .saturating_add(self.service_time.expected_us(now_us));
+        ends_us < deadline_us
+    }
+
+    fn enqueue(&mut self, now_us: u64, arrival: Arrival) -> Offer {
+        let ahead = self.queue.ahead_of(arrival.rank);
+        let is_too_late =
+            !self.can_finish(now_us, self.wait_us(now_us, ahead), arrival.deadline_us);
+        if is_too_late || ahead >= self.queue_len_bound() {
+            let refusal = self.refusal(now_us, RefusalReason::Overload);
+            return Offer::refused(refusal);
+        }
+        let mut evicted = Vec::new();
+        while self.queue.len() >= self.queue_len_bound() {
+            let Some(least) = self.queue.pop_least() else {
+                break;
+            };
+            evicted.push(Evicted {
+                call: least.call,
+                refusal: self.refusal(now_us, RefusalReason::Overload),
+            });
+        }
+        self.next_sequence += 1;
+        self.queue.push(Waiting {
+            rank: arrival.rank,
+            sequence: self.next_sequence,
+            call: arrival.call,
+            deadline_us: arrival.deadline_us,
+        });
+        Offer {
+            outcome: Admitted::Queued,
+            evicted,
+        }
+    }
+
+    /// Starts queued calls, most important first, and refuses those that can't finish.
+    fn release(&mut self, now_us: u64) -> Released {
+        let mut released = Released::default();
+        let must_start_us = now_us.saturating_add(self.service_time.latest_us());
+        for late in self.queue.take_late(must_start_us) {
+            released.evicted.push(Evicted {
+                call: late.call,
+                refusal: self.refusal(now_us, RefusalReason::Deadline),
+            });
+        }
+        while let Some(first) = self.queue.first() {
+            if !self.has_room_for(first.rank.priority) {
+                break;
+            }
+            let Some(first) = self.queue.pop_first() else {
+                break;
+            };
+            self.start(now_us, first.call, first.rank.priority);
+            released.started.push(first.call);
+        }
+        released
+    }
+
+    /// Returns the time that a call waits behind others in the queue.
+    fn wait_us(&self, now_us: u64, ahead: u32) -> u64 {
+        let limit = u64::from(self.limit.current().max(1));
+        (u64::from(ahead) + 1) * self.service_time.expected_us(now_us) / limit
+    }
+
+    /// Returns the number of calls that may wait, bounded by count and by time.
+    fn queue_len_bound(&self) -> u32 {
+        let limit = self.limit.current();
+        let service_us = self.service_time.latest_us().max(1);
+        let wait_max_us = u64::from(self.settings.queue_wait_max_ms) * 1_000;
+        let by_time = u64::from(limit) * wait_max_us / service_us;
+        let by_time = u32::try_from(by_time).unwrap_or(u32::MAX);
+        by_time.max(1).min(self.settings.queue_len_max)
+    }
+
+    fn refusal(&self, now_us: u64, reason: RefusalReason) -> Refusal {
+        let drain_us = self.wait_us(now_us, self.queue.len());
+        let drain_ms = u32::try_from(drain_us / 1_000).unwrap_or(u32::MAX);
+        Refusal {
+            reason,
+            retry_after_ms: drain_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
+            is_elsewhere_worthwhile: reason != RefusalReason::Deadline,
+        }
+    }
+}
+
+impl Offer {
+    fn refused(refusal: Refusal) -> Self {
+        Self {
+            outcome: Admitted::Refused(refusal),
+            evicted: Vec::new(),
+        }
+    }
+}
+
+impl Service for Admission {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        if let Event::Notice(Notice::TargetAnnounced(announcement)) = event {
+            self.set_slots(context.now_us(), announcement.slots);
+        }
+    }
+}
--- /dev/null
+++ b/src/admission/queue.rs
@@ -0,0 +1,98 @@
+//! The queue of calls that wait for a slot: most important first, then oldest first.
+
+use std::cmp::Reverse;
+
+use crate::ids::CallKey;
+use crate::request::Rank;
+
+/// A call that waits.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct Waiting {
+    pub(super) rank: Rank,
+    pub(super) sequence: u64,
+    pub(super) call: CallKey,
+    pub(super) deadline_us: u64,
+}
+
+impl Waiting {
+    fn key(&self) -> (Rank, Reverse<u64>) {
+        (self.rank, Reverse(self.sequence))
+    }
+}
+
+/// Waiting calls in ascending order of importance; the last is served first.
+#[derive(Default)]
+pub(super) struct Queue {
+    waiting: Vec<Waiting>,
+}
+
+impl Queue {
+    pub(super) fn len(&self) -> u32 {
+        u32::try_from(self.waiting.len()).unwrap_or(u32::MAX)
+    }
+
+    pub(super) fn push(&mut self, call: Waiting) {
+        let at = self
+            .waiting
+            .partition_point(|other| other.key() < call.key());
+        self.waiting.insert(at, call);
+    }
+
+    /// Returns the call that is served first.
+    pub(super) fn first(&self) -> Option<&Waiting> {
+        self.waiting.last()
+    }
+
+    pub(super) fn pop_first(&mut self) -> Option<Waiting> {
+        self.waiting.pop()
+    }
+
+    /// Returns the call that is evicted first.
+    pub(super) fn least(&self) -> Option<&Waiting> {
+        self.waiting.first()
+    }
+
+    pub(super) fn pop_least(&mut self) -> Option<Waiting> {
+        if self.waiting.is_empty() {
+            return None;
+        }
+        Some(self.waiting.remove(0))
+    }
+
+    /// Returns the number of calls that are served before a new one of a rank.
+    pub(super) fn ahead_of(&self, rank: Rank) -> u32 {
+        let behind = self.waiting.partition_point(|other| other.rank < rank);
+        u32::try_from(self.waiting.len() - behind).unwrap_or(u32::MAX)
+    }
+
+    /// Says whether a waiting call is served before a new one of a rank.
+    pub(super) fn outranks(&self, rank: Rank) -> bool {
+        self.first().is_some_and(|first| first.rank >= rank)
+    }
+
+    /// Removes a call; says whether it was here.
+    pub(super) fn remove(&mut self, call: CallKey) -> bool {
+        let Some(at) = self.waiting.iter().position(|other| other.call == call) else {
+            return false;
+        };
+        self.waiting.remove(at);
+        true
+    }
+
+    /// Removes the calls whose deadline is not after a time.
+    pub(super) fn take_late(&mut self, until_us: u64) -> Vec<Waiting> {
+        let mut late = Vec::new();
+        self.waiting.retain(|call| {
+            let is_late = call.deadline_us <= until_us;
+            if is_late {
+                late.push(*call);
+            }
+            !is_late
+        });
+        late
+    }
+
+    pub(super) fn earliest_deadline_us(&self) -> Option<u64> {
+        self.waiting.iter().map(|call| call.deadline_us).min()
+    }
+}
