Find, probe and announce members without a list

Cause: daemons had no way to learn of each other.

News rides on probes and their answers within a byte budget; a member contradicts a false report with a greater incarnation. A new run at an address replaces the old one. The fake network no longer keeps one wake-up for each input for ever.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,4 +1,16 @@
 //! Membership: which daemons there are, without a list and without a coordinator.
+//!
+//! A daemon finds a few others through the platform's table, or a snapshot in the object store,
+//! and learns the rest from them. From then on daemons probe each other, and what they learn
+//! rides on the probes within a byte budget.
+
+mod contacts;
+mod gossip;
+mod message;
+mod probe;
+mod roster;
+mod service;
+mod settings;
 
 use std::net::SocketAddr;
 
@@ -7,6 +19,12 @@
 use crate::derives::{message, value};
 use crate::ids::{AvailabilityZone, MemberId, ServiceName};
 
+pub use gossip::{Budget, UpdateQueue};
+pub use message::{Gossip, Message, Update, encoded_bytes};
+pub use roster::{Learned, Roster};
+pub use service::Membership;
+pub use settings::MembershipSettings;
+
 /// The name of the membership service.
 pub const NAME: &str = "membership";
 
@@ -44,9 +62,9 @@
     Gone,
 }
 
-/// A membership message between daemons.
-#[apply(message!)]
-pub enum Message {
-    /// Are you alive?
-    Probe,
+impl Member {
+    /// Returns what decides between two reports of the same member: the greater is newer.
+    pub fn freshness(&self) -> (u32, MemberState) {
+        (self.incarnation, self.state)
+    }
 }
--- /dev/null
+++ b/src/membership/gossip.rs
@@ -0,0 +1,101 @@
+//! What is still to be told to others, and the bytes that this may take.
+
+use std::collections::VecDeque;
+
+use crate::ids::MemberId;
+use crate::sorted::SortedMap;
+
+/// Members with news, those told least often first.
+#[derive(Default)]
+pub struct UpdateQueue {
+    /// The members told so many times, in the order of their news; some entries are outdated.
+    rounds: Vec<VecDeque<MemberId>>,
+    told: SortedMap<MemberId, usize>,
+}
+
+impl UpdateQueue {
+    /// Adds news of a member, in place of older news of it.
+    pub fn push(&mut self, id: MemberId) {
+        if self.told.insert(id, 0) != Some(0) {
+            self.round(0).push_back(id);
+        }
+    }
+
+    /// Returns the number of members with news.
+    pub fn len(&self) -> usize {
+        self.told.len()
+    }
+
+    /// Says whether there is no news.
+    pub fn is_empty(&self) -> bool {
+        self.told.is_empty()
+    }
+
+    /// Hands members with news to `take` until it returns false; news told `times` is dropped.
+    pub fn tell(&mut self, times: usize, mut take: impl FnMut(MemberId) -> bool) {
+        let mut taken = Vec::new();
+        let mut goes_on = true;
+        for at in 0..self.rounds.len() {
+            while goes_on && let Some(id) = self.rounds[at].pop_front() {
+                if self.told.get(&id) != Some(&at) {
+                    continue;
+                }
+                goes_on = take(id);
+                if !goes_on {
+                    self.rounds[at].push_front(id);
+                    break;
+                }
+                taken.push((id, at + 1));
+            }
+        }
+        for (id, told) in taken {
+            if told >= times {
+                self.told.remove(&id);
+                continue;
+            }
+            self.told.insert(id, told);
+            self.round(told).push_back(id);
+        }
+    }
+
+    fn round(&mut self, at: usize) -> &mut VecDeque<MemberId> {
+        if self.rounds.len() <= at {
+            self.rounds.resize_with(at + 1, VecDeque::new);
+        }
+        &mut self.rounds[at]
+    }
+}
+
+/// The bytes that may be sent: saved up at a steady rate to a greatest amount.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    bytes_per_s: f64,
+    most_bytes: f64,
+    left_bytes: f64,
+    at_us: u64,
+}
+
+impl Budget {
+    /// Makes a budget that starts full.
+    pub fn new(bytes_per_s: u32, most_bytes: u32) -> Self {
+        Self {
+            bytes_per_s: f64::from(bytes_per_s),
+            most_bytes: f64::from(most_bytes),
+            left_bytes: f64::from(most_bytes),
+            at_us: 0,
+        }
+    }
+
+    /// Returns the bytes that may be sent now; 0 while more was sent than the rate allows.
+    pub fn left_bytes(&mut self, now_us: u64) -> usize {
+        let passed_s = now_us.saturating_sub(self.at_us) as f64 / 1e6;
+        self.at_us = now_us.max(self.at_us);
+        self.left_bytes = (self.left_bytes + passed_s * self.bytes_per_s).min(self.most_bytes);
+        self.left_bytes.max(0.0) as usize
+    }
+
+    /// Spends bytes.
+    pub fn spend(&mut self, bytes: usize) {
+        self.left_bytes -= bytes as f64;
+    }
+}
--- /dev/null
+++ b/src/membership/probe.rs
@@ -0,0 +1,142 @@
+//! Whom to probe next, which probes are under way, and which members are under suspicion.
+
+use super::{Member, Roster};
+use crate::ids::MemberId;
+use crate::sorted::SortedMap;
+
+/// The probes of one daemon.
+///
+/// A daemon probes the members at the distances 1, 2, 4, ... behind itself in the ring of ids, in
+/// turn. So it needs a link to few others, and each member has as many that probe it.
+#[derive(Default)]
+pub(super) struct Prober {
+    turn: u32,
+    checks: SortedMap<MemberId, Check>,
+    suspicions: SortedMap<MemberId, Suspicion>,
+    suspect_turn: usize,
+}
+
+/// A member that did not answer a direct probe while others probe it.
+#[derive(Clone, Copy)]
+struct Check {
+    awaited: u32,
+}
+
+/// A member that answered neither directly nor through others.
+#[derive(Clone, Copy)]
+struct Suspicion {
+    incarnation: u32,
+    gone_at_us: u64,
+}
+
+impl Prober {
+    /// Returns the member to probe next.
+    pub(super) fn next(&mut self, roster: &Roster, own: MemberId) -> Option<MemberId> {
+        let others = ring_others(roster, own);
+        if others == 0 {
+            return None;
+        }
+        let fingers = usize::BITS - others.leading_zeros();
+        self.turn = (self.turn + 1) % fingers;
+        finger(roster, own, self.turn)
+    }
+
+    /// Returns the members at all distances, the nearest first.
+    pub(super) fn fingers(roster: &Roster, own: MemberId) -> Vec<MemberId> {
+        let others = ring_others(roster, own);
+        let mut members = Vec::new();
+        for turn in 0..usize::BITS - others.leading_zeros() {
+            members.extend(finger(roster, own, turn));
+        }
+        members
+    }
+
+    /// Notes that others were asked to probe a member.
+    pub(super) fn begin_check(&mut self, id: MemberId, awaited: u32) {
+        self.checks.insert(id, Check { awaited });
+    }
+
+    /// Says whether others are asked to probe a member.
+    pub(super) fn is_checked(&self, id: MemberId) -> bool {
+        self.checks.contains_key(&id)
+    }
+
+    /// Notes that a member answered.
+    pub(super) fn answered(&mut self, id: MemberId) {
+        self.checks.remove(&id);
+    }
+
+    /// Notes that one of those asked could not reach a member; returns whether it was the last.
+    pub(super) fn unreached(&mut self, id: MemberId) -> bool {
+        let Some(check) = self.checks.get_mut(&id) else {
+            return false;
+        };
+        check.awaited = check.awaited.saturating_sub(1);
+        let is_last = check.awaited == 0;
+        if is_last {
+            self.checks.remove(&id);
+        }
+        is_last
+    }
+
+    /// Begins a suspicion unless there is one; returns whether it is new.
+    pub(super) fn suspect(&mut self, member: &Member, gone_at_us: u64) -> bool {
+        if self.suspicions.contains_key(&member.id) {
+            return false;
+        }
+        let suspicion = Suspicion {
+            incarnation: member.incarnation,
+            gone_at_us,
+        };
+        self.suspicions.insert(member.id, suspicion);
+        true
+    }
+
+    /// Ends the suspicions that were refuted, and returns the members whose time has passed.
+    pub(super) fn expire(&mut self, roster: &Roster, now_us: u64) -> Vec<MemberId> {
+        let mut expired = Vec::new();
+        self.suspicions.retain(|id, suspicion| {
+            let Some(member) = roster.get(*id) else {
+                return false;
+            };
+            if member.incarnation != suspicion.incarnation {
+                return false;
+            }
+            if suspicion.gone_at_us > now_us {
+                return true;
+            }
+            expired.push(*id);
+            false
+        });
+        expired
+    }
+
+    /// Returns a member under suspicion to probe again, each in turn.
+    pub(super) fn next_suspect(&mut self) -> Option<MemberId> {
+        if self.suspicions.is_empty() {
+            return None;
+        }
+        self.suspect_turn = (self.suspect_turn + 1) % self.suspicions.len();
+        let (id, _) = self.suspicions.entry_at(self.suspect_turn)?;
+        Some(*id)
+    }
+
+    /// Gives up the probes under way and begins the suspicions anew.
+    pub(super) fn restart(&mut self, gone_at_us: u64) {
+        self.checks = SortedMap::default();
+        for (_, suspicion) in self.suspicions.iter_mut() {
+            suspicion.gone_at_us = gone_at_us;
+        }
+    }
+}
+
+fn ring_others(roster: &Roster, own: MemberId) -> usize {
+    roster.len() - usize::from(roster.get(own).is_some())
+}
+
+/// Returns the member at the distance `2^turn` behind the own place in the ring of ids.
+fn finger(roster: &Roster, own: MemberId, turn: u32) -> Option<MemberId> {
+    let at = (roster.position(own) + (1 << turn)) % roster.len();
+    let id = roster.member_at(at)?.id;
+    (id != own).then_some(id)
+}
--- /dev/null
+++ b/src/membership/roster.rs
@@ -0,0 +1,217 @@
+//! The members that a daemon knows, and which of two reports holds.
+
+use std::net::SocketAddr;
+
+use slotmap::SlotMap;
+
+use super::{Member, MemberState};
+use crate::ids::{AvailabilityZone, MemberId, ServiceName};
+use crate::sorted::SortedMap;
+
+slotmap::new_key_type! {
+    /// The place of a member in the roster's arena.
+    struct RecordKey;
+}
+
+/// Members by id and by address, and those that are gone.
+#[derive(Default)]
+pub struct Roster {
+    records: SlotMap<RecordKey, Member>,
+    by_id: SortedMap<MemberId, RecordKey>,
+    by_address: SortedMap<SocketAddr, RecordKey>,
+    gone: SortedMap<MemberId, GoneMember>,
+    zones: Vec<AvailabilityZone>,
+    services: Vec<ServiceName>,
+}
+
+/// A member that is gone, kept so that old news does not bring it back.
+struct GoneMember {
+    member: Member,
+    forget_at_us: u64,
+}
+
+/// What a report changed.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Learned {
+    /// Nothing: as much or more was known.
+    Nothing,
+    /// The member is new or changed; the one that had its address before is gone.
+    Changed {
+        /// The member that had the address before.
+        replaced: Option<MemberId>,
+    },
+    /// The member is gone.
+    Gone,
+    /// Another member has the address and its report is fresher.
+    AddressTaken(MemberId),
+}
+
+impl Roster {
+    /// Returns a member that is not gone.
+    pub fn get(&self, id: MemberId) -> Option<&Member> {
+        let key = self.by_id.get(&id)?;
+        self.records.get(*key)
+    }
+
+    /// Returns the member at an address.
+    pub fn at_address(&self, address: SocketAddr) -> Option<&Member> {
+        let key = self.by_address.get(&address)?;
+        self.records.get(*key)
+    }
+
+    /// Returns what is remembered of a member that is gone.
+    pub fn gone(&self, id: MemberId) -> Option<&Member> {
+        Some(&self.gone.get(&id)?.member)
+    }
+
+    /// Returns the remembered member at a position among those that are gone.
+    pub fn gone_at(&self, at: usize) -> Option<&Member> {
+        let (_, gone) = self.gone.entry_at(at)?;
+        Some(&gone.member)
+    }
+
+    /// Returns the number of members that are gone and remembered.
+    pub fn gone_len(&self) -> usize {
+        self.gone.len()
+    }
+
+    /// Returns the members in order of their ids.
+    pub fn members(&self) -> impl Iterator<Item = &Member> {
+        self.by_id.values().filter_map(|key| self.records.get(*key))
+    }
+
+    /// Returns the member at a position in order of ids.
+    pub fn member_at(&self, at: usize) -> Option<&Member> {
+        let (_, key) = self.by_id.entry_at(at)?;
+        self.records.get(*key)
+    }
+
+    /// Returns the position of the first member whose id is not less.
+    pub fn position(&self, id: MemberId) -> usize {
+        let (mut low, mut high) = (0, self.by_id.len());
+        while low < high {
+            let middle = (low + high) / 2;
+            match self.by_id.entry_at(middle) {
+                Some((probe, _)) if *probe < id => low = middle + 1,
+                _ => high = middle,
+            }
+        }
+        low
+    }
+
+    /// Returns the position of the first member whose id is greater.
+    pub fn position_after(&self, id: MemberId) -> usize {
+        self.position(id) + usize::from(self.by_id.contains_key(&id))
+    }
+
+    /// Returns the number of members that are not gone.
+    pub fn len(&self) -> usize {
+        self.by_id.len()
+    }
+
+    /// Says whether no member is known.
+    pub fn is_empty(&self) -> bool {
+        self.by_id.is_empty()
+    }
+
+    /// Takes in a report of a member; the member is forgotten at `forget_at_us` if it is gone.
+    pub fn learn(&mut self, report: Member, forget_at_us: u64) -> Learned {
+        if let Some(gone) = self.gone.get(&report.id)
+            && report.incarnation <= gone.member.incarnation
+        {
+            return Learned::Nothing;
+        }
+        if let Some(known) = self.get(report.id)
+            && report.freshness() <= known.freshness()
+        {
+            return Learned::Nothing;
+        }
+        if report.state == MemberState::Gone {
+            return self.bury(report, forget_at_us);
+        }
+        let mut replaced = None;
+        if let Some(other) = self.at_address(report.address)
+            && other.id != report.id
+        {
+            if (other.incarnation, other.id) > (report.incarnation, report.id) {
+                return Learned::AddressTaken(other.id);
+            }
+            replaced = Some(other.id);
+        }
+        if let Some(id) = replaced {
+            self.remove(id, forget_at_us);
+        }
+        self.put(report);
+        Learned::Changed { replaced }
+    }
+
+    /// Marks a member as gone at its present incarnation and returns it.
+    pub fn remove(&mut self, id: MemberId, forget_at_us: u64) -> Option<Member> {
+        let mut member = self.get(id)?.clone();
+        member.state = MemberState::Gone;
+        self.bury(member.clone(), forget_at_us);
+        Some(member)
+    }
+
+    /// Forgets the members that have been gone for long.
+    pub fn forget(&mut self, now_us: u64) {
+        self.gone.retain(|_, gone| gone.forget_at_us > now_us);
+    }
+
+    fn bury(&mut self, member: Member, forget_at_us: u64) -> Learned {
+        let key = self.by_id.remove(&member.id);
+        if let Some(key) = key
+            && let Some(known) = self.records.remove(key)
+            && self.by_address.get(&known.address) == Some(&key)
+        {
+            self.by_address.remove(&known.address);
+        }
+        let gone = GoneMember {
+            member,
+            forget_at_us,
+        };
+        self.gone.insert(gone.member.id, gone);
+        match key {
+            Some(_) => Learned::Gone,
+            None => Learned::Nothing,
+        }
+    }
+
+    fn put(&mut self, mut member: Member) {
+        self.share_names(&mut member);
+        self.gone.remove(&member.id);
+        let address = member.address;
+        if let Some(key) = self.by_id.get(&member.id).copied() {
+            let known = &mut self.records[key];
+            let old_address = known.address;
+            *known = member;
+            if old_address != address {
+                self.by_address.remove(&old_address);
+            }
+            self.by_address.insert(address, key);
+            return;
+        }
+        let id = member.id;
+        let key = self.records.insert(member);
+        self.by_id.insert(id, key);
+        self.by_address.insert(address, key);
+    }
+
+    /// Lets equal names share one allocation.
+    fn share_names(&mut self, member: &mut Member) {
+        member.availability_zone = shared(&mut self.zones, member.availability_zone.clone());
+        if let Some(service) = member.service.take() {
+            member.service = Some(shared(&mut self.services, service));
+        }
+    }
+}
+
+fn shared<T: Ord + Clone>(names: &mut Vec<T>, name: T) -> T {
+    match names.binary_search(&name) {
+        Ok(at) => names[at].clone(),
+        Err(at) => {
+            names.insert(at, name.clone());
+            name
+        }
+    }
+}
--- /dev/null
+++ b/src/membership/service/joining.rs
@@ -0,0 +1,225 @@
+//! How a daemon finds its first contacts and learns the member list from them.
+
+use std::net::SocketAddr;
+
+use rand::RngExt;
+
+use super::{Ask, InboundKey, Member, Membership, Message, Tag};
+use crate::ids::MemberId;
+use crate::kernel::{Context, LinkError, StateChange};
+use crate::membership::contacts;
+use crate::membership::message::member_bytes;
+use crate::table::{ObjectResponse, PlatformError, TableResponse};
+
+/// The size of the members in one part of the member list.
+const LIST_PART_BYTES: usize = 8_192;
+
+/// How far a daemon has come with the member list.
+#[derive(Default)]
+pub(super) struct Joining {
+    contacts: Vec<SocketAddr>,
+    after: Option<MemberId>,
+    is_listing: bool,
+    is_joined: bool,
+    has_row: bool,
+}
+
+impl Membership {
+    pub(super) fn start(&mut self, context: &mut Context<'_>) {
+        let period_us = u64::from(self.settings.probe_period_ms) * 1_000;
+        let phase_us = context.rng().random_range(0..=period_us);
+        self.timer(context, phase_us, Tag::Probe);
+        let gone_us = u64::from(self.settings.gone_probe_ms) * 1_000;
+        let phase_us = context.rng().random_range(0..=gone_us);
+        self.timer(context, phase_us, Tag::ProbeGone);
+        let rows_us = u64::from(self.settings.row_refresh_ms) * 1_000;
+        let phase_us = context.rng().random_range(rows_us / 2..=rows_us);
+        self.timer(context, phase_us, Tag::Rows);
+        self.queue.push(self.own.id);
+        self.find_contacts(context);
+        self.write_own_row(context);
+    }
+
+    /// Reads some rows of the own zone and of others.
+    pub(super) fn find_contacts(&mut self, context: &mut Context<'_>) {
+        if self.joining.is_joined || self.is_stopping {
+            return;
+        }
+        let again_us = self
+            .backoff
+            .next_us(self.settings.retry_max_ms, context.rng());
+        self.timer(context, again_us, Tag::Platform);
+        if self.roster.len() > 1 {
+            if !self.joining.is_listing {
+                self.list(context);
+            }
+            return;
+        }
+        let limit = self.settings.contacts_max;
+        let zone = self.own.availability_zone.clone();
+        let near = contacts::scan_zone(&zone, limit, context.rng());
+        for request in [near, contacts::scan_all(limit)] {
+            let ask = context.table(request, self.platform_timeout_us());
+            self.asks.insert(ask, Ask::Scan);
+        }
+    }
+
+    pub(super) fn write_own_row(&mut self, context: &mut Context<'_>) {
+        if self.joining.has_row || self.is_stopping {
+            return;
+        }
+        let request = contacts::write_row(&self.own);
+        let ask = context.table(request, self.platform_timeout_us());
+        self.asks.insert(ask, Ask::WriteRow);
+    }
+
+    pub(super) fn delete_own_row(&mut self, context: &mut Context<'_>) {
+        let request = contacts::delete_row(&self.own);
+        let ask = context.table(request, self.platform_timeout_us());
+        self.asks.insert(ask, Ask::DeleteRow);
+    }
+
+    /// The member with the least id writes the snapshot and looks for rows it does not know.
+    pub(super) fn refresh_rows(&mut self, context: &mut Context<'_>) {
+        let period_us = u64::from(self.settings.row_refresh_ms) * 1_000;
+        self.timer(context, period_us, Tag::Rows);
+        if self.roster.position(self.own.id) != 0 {
+            return;
+        }
+        let mut members = self.sample(context.rng(), self.settings.contacts_max as usize);
+        members.push(self.own.clone());
+        let request = contacts::write_snapshot(&members);
+        let ask = context.object(request, self.platform_timeout_us());
+        self.asks.insert(ask, Ask::WriteSnapshot);
+    }
+
+    pub(super) fn table_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        ask: Ask,
+        result: Result<TableResponse, PlatformError>,
+    ) {
+        match (ask, result) {
+            (Ask::Scan, Ok(TableResponse::Rows(rows))) => {
+                self.found(context, &contacts::row_members(&rows));
+            }
+            (Ask::Scan, _) => {
+                let request = contacts::read_snapshot();
+                let ask = context.object(request, self.platform_timeout_us());
+                self.asks.insert(ask, Ask::ReadSnapshot);
+            }
+            (Ask::WriteRow, Ok(_)) => self.joining.has_row = true,
+            (Ask::WriteRow, Err(_)) => {
+                let again_us = self
+                    .row_backoff
+                    .next_us(self.settings.retry_max_ms, context.rng());
+                self.timer(context, again_us, Tag::Row);
+            }
+            _ => {}
+        }
+    }
+
+    pub(super) fn object_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        ask: Ask,
+        result: Result<ObjectResponse, PlatformError>,
+    ) {
+        if let (Ask::ReadSnapshot, Ok(ObjectResponse::Content(content))) = (ask, result) {
+            self.found(context, &contacts::snapshot_members(&content));
+        }
+    }
+
+    /// Takes in possible contacts; an earlier daemon at this address is gone.
+    fn found(&mut self, context: &mut Context<'_>, members: &[Member]) {
+        for member in members {
+            if member.address == self.own.address && member.id != self.own.id {
+                self.outlive(context, member.clone());
+            }
+        }
+        let found = contacts::addresses(members, self.own.address, context.rng());
+        for address in found {
+            if !self.joining.contacts.contains(&address) {
+                self.joining.contacts.push(address);
+            }
+        }
+        if !self.joining.is_joined && !self.joining.is_listing {
+            self.list(context);
+        }
+    }
+
+    /// Asks for the next part of the member list, of a contact at first, then of any member.
+    pub(super) fn list(&mut self, context: &mut Context<'_>) {
+        let known = self.sample(context.rng(), 1);
+        let address = match known.first() {
+            Some(member) => Some(member.address),
+            None => self.joining.contacts.pop(),
+        };
+        let Some(address) = address else {
+            self.joining.is_listing = false;
+            return;
+        };
+        self.joining.is_listing = true;
+        let message = Message::List {
+            from: self.own.clone(),
+            after: self.joining.after,
+        };
+        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
+        self.asks.insert(ask, Ask::List);
+    }
+
+    pub(super) fn listed(&mut self, context: &mut Context<'_>, result: Result<Message, LinkError>) {
+        let Ok(Message::Members { members, has_more }) = result else {
+            let period_us = u64::from(self.settings.list_period_ms) * 1_000;
+            self.timer(context, period_us, Tag::List);
+            return;
+        };
+        for member in members {
+            self.joining.after = self.joining.after.max(Some(member.id));
+            self.learn(context, member, false);
+        }
+        if has_more {
+            let period_us = u64::from(self.settings.list_period_ms) * 1_000;
+            self.timer(context, period_us, Tag::List);
+            return;
+        }
+        self.joining.is_listing = false;
+        if !self.joining.is_joined {
+            self.joining.is_joined = true;
+            self.backoff.reset();
+            let detail = format!("members={}", self.roster.len());
+            context.log(StateChange::new("membership", "joined", detail));
+        }
+    }
+
+    pub(super) fn answer_list(
+        &mut self,
+        context: &mut Context<'_>,
+        inbound: InboundKey,
+        from: Member,
+        after: Option<MemberId>,
+    ) {
+        self.hear(context, from);
+        let left_bytes = self
+            .budget
+            .left_bytes(context.now_us())
+            .min(LIST_PART_BYTES);
+        let mut members = Vec::new();
+        let mut bytes = 0;
+        let mut at = after.map_or(0, |after| self.roster.position_after(after));
+        while let Some(member) = self.roster.member_at(at) {
+            bytes += member_bytes(member);
+            if bytes > left_bytes {
+                break;
+            }
+            members.push(member.clone());
+            at += 1;
+        }
+        let has_more = at < self.roster.len();
+        self.answer(context, inbound, Message::Members { members, has_more });
+    }
+
+    fn platform_timeout_us(&self) -> u64 {
+        u64::from(self.settings.platform_timeout_ms) * 1_000
+    }
+}
--- /dev/null
+++ b/src/membership/service/probing.rs
@@ -0,0 +1,203 @@
+//! Probes, relayed probes and suspicions.
+
+use rand::RngExt;
+
+use super::{
+    Ask, InboundKey, MEMBERS_FAILED, MEMBERS_SUSPECTED, Member, MemberState, Membership, Message,
+    Prober, Tag, Update, describe,
+};
+use crate::ids::MemberId;
+use crate::kernel::{Context, LinkError, StateChange};
+
+impl Membership {
+    pub(super) fn probe(&mut self, context: &mut Context<'_>) {
+        let period_us = u64::from(self.settings.probe_period_ms) * 1_000;
+        self.timer(context, period_us, Tag::Probe);
+        self.roster.forget(context.now_us());
+        for id in self.prober.expire(&self.roster, context.now_us()) {
+            context.count(MEMBERS_FAILED);
+            self.remove(context, id);
+        }
+        if self.budget.left_bytes(context.now_us()) == 0 {
+            return;
+        }
+        if let Some(id) = self.prober.next(&self.roster, self.own.id) {
+            self.probe_member(context, id);
+        }
+        if let Some(id) = self.prober.next_suspect() {
+            self.probe_member(context, id);
+        }
+    }
+
+    fn probe_member(&mut self, context: &mut Context<'_>, id: MemberId) {
+        let Some(member) = self.roster.get(id) else {
+            return;
+        };
+        let address = member.address;
+        let gossip = self.gossip(context, id);
+        let message = Message::Probe { to: id, gossip };
+        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
+        self.asks.insert(ask, Ask::Probe(id));
+    }
+
+    /// Tries a member that is gone, which a cut between them may have made so.
+    pub(super) fn probe_gone(&mut self, context: &mut Context<'_>) {
+        let period_us = u64::from(self.settings.gone_probe_ms) * 1_000;
+        self.timer(context, period_us, Tag::ProbeGone);
+        if self.roster.gone_len() == 0 || self.budget.left_bytes(context.now_us()) == 0 {
+            return;
+        }
+        let at = context.rng().random_range(0..self.roster.gone_len());
+        let Some(member) = self.roster.gone_at(at) else {
+            return;
+        };
+        let (id, address) = (member.id, member.address);
+        if self.roster.at_address(address).is_some() {
+            return;
+        }
+        let gossip = self.gossip(context, id);
+        let message = Message::Probe { to: id, gossip };
+        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
+        self.asks.insert(ask, Ask::ProbeGone);
+    }
+
+    /// Tells the members that this daemon probes at once.
+    pub(super) fn tell_fingers(&mut self, context: &mut Context<'_>) {
+        for id in Prober::fingers(&self.roster, self.own.id) {
+            self.probe_member(context, id);
+        }
+    }
+
+    /// After a pause an answer may be late because this daemon was: nothing follows from it.
+    pub(super) fn wake(&mut self, context: &mut Context<'_>) {
+        let mut outdated = Vec::new();
+        for (key, ask) in self.asks.iter() {
+            if matches!(ask, Ask::Probe(_) | Ask::Relayed(_) | Ask::ProbeGone) {
+                outdated.push(*key);
+            }
+        }
+        for key in outdated {
+            self.asks.remove(&key);
+            context.cancel_ask(key);
+        }
+        let suspicion_us = u64::from(self.settings.suspicion_ms) * 1_000;
+        self.prober.restart(context.now_us() + suspicion_us);
+        self.announce(context);
+    }
+
+    pub(super) fn asked(
+        &mut self,
+        context: &mut Context<'_>,
+        inbound: InboundKey,
+        message: Message,
+    ) {
+        match message {
+            Message::Probe { to, gossip } => {
+                let from = gossip.from;
+                self.absorb(context, gossip);
+                let mut gossip = self.gossip(context, from);
+                if to != self.own.id {
+                    gossip.updates.push(Update::Whole(self.own.clone()));
+                }
+                self.answer(context, inbound, Message::Alive { gossip });
+            }
+            Message::Relay {
+                to,
+                address,
+                gossip,
+            } => {
+                self.absorb(context, gossip);
+                let gossip = self.gossip(context, to);
+                let message = Message::Probe { to, gossip };
+                let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
+                self.asks.insert(ask, Ask::ForPeer(inbound));
+            }
+            Message::List { from, after } => self.answer_list(context, inbound, from, after),
+            Message::Alive { .. } | Message::Unreached | Message::Members { .. } => {
+                self.answer(context, inbound, Message::Unreached);
+            }
+        }
+    }
+
+    pub(super) fn answered(
+        &mut self,
+        context: &mut Context<'_>,
+        ask: Ask,
+        result: Result<Message, LinkError>,
+    ) {
+        match (ask, result) {
+            (Ask::Probe(id) | Ask::Relayed(id), Ok(Message::Alive { gossip })) => {
+                self.prober.answered(id);
+                let from = gossip.from;
+                self.absorb(context, gossip);
+                if from != id && matches!(ask, Ask::Probe(_)) {
+                    self.remove(context, id);
+                }
+            }
+            (Ask::Probe(id), Err(error)) => self.probe_failed(context, id, error),
+            (Ask::Relayed(id), _) if self.prober.unreached(id) => self.suspect(context, id),
+            (Ask::ForPeer(inbound), Ok(Message::Alive { gossip })) => {
+                self.answer(context, inbound, Message::Alive { gossip });
+            }
+            (Ask::ForPeer(inbound), _) => self.answer(context, inbound, Message::Unreached),
+            (Ask::ProbeGone, Ok(Message::Alive { gossip })) => self.absorb(context, gossip),
+            (Ask::List, result) => self.listed(context, result),
+            _ => {}
+        }
+    }
+
+    fn probe_failed(&mut self, context: &mut Context<'_>, id: MemberId, error: LinkError) {
+        let Some(member) = self.roster.get(id) else {
+            return;
+        };
+        if member.state == MemberState::Leaving && error == LinkError::NotSent {
+            self.remove(context, id);
+            return;
+        }
+        if self.prober.is_checked(id) {
+            return;
+        }
+        let address = member.address;
+        let relays = self.relays(context, id);
+        if relays.is_empty() {
+            self.suspect(context, id);
+            return;
+        }
+        self.prober.begin_check(id, relays.len() as u32);
+        for relay in relays {
+            let gossip = self.gossip(context, relay.id);
+            let message = Message::Relay {
+                to: id,
+                address,
+                gossip,
+            };
+            let timeout_ms = 2 * self.settings.probe_timeout_ms;
+            let ask = self.ask(context, relay.address, message, timeout_ms);
+            self.asks.insert(ask, Ask::Relayed(id));
+        }
+    }
+
+    fn relays(&self, context: &mut Context<'_>, id: MemberId) -> Vec<Member> {
+        let mut relays = self.sample(context.rng(), self.settings.relays as usize + 1);
+        relays.retain(|relay| relay.id != id);
+        relays.truncate(self.settings.relays as usize);
+        relays
+    }
+
+    fn suspect(&mut self, context: &mut Context<'_>, id: MemberId) {
+        let Some(member) = self.roster.get(id) else {
+            return;
+        };
+        let mut report = member.clone();
+        let gone_at_us = context.now_us() + u64::from(self.settings.suspicion_ms) * 1_000;
+        if !self.prober.suspect(&report, gone_at_us) {
+            return;
+        }
+        context.count(MEMBERS_SUSPECTED);
+        context.log(StateChange::new("member", "suspected", describe(&report)));
+        if report.state == MemberState::Alive {
+            report.state = MemberState::Suspect;
+            self.learn(context, report, true);
+        }
+    }
+}
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -36,6 +36,7 @@
     pub runs: Vec<(u64, HttpRequest)>,
     inbound: SortedMap<InboundKey, (usize, AskKey)>,
     cancelled: Vec<CallKey>,
+    wake_at_us: Option<u64>,
 }
 
 /// The fault of the fake platform at present.
@@ -133,6 +134,7 @@
             runs: Vec::new(),
             inbound: SortedMap::default(),
             cancelled: Vec::new(),
+            wake_at_us: None,
         });
         let effects = self.nodes[at].kernel.start(self.now_us);
         self.carry_out(at, effects);
@@ -209,6 +211,7 @@
         match scheduled.delivery {
             Delivery::Input(input) => self.deliver(scheduled.node, *input),
             Delivery::Wake => {
+                self.nodes[scheduled.node].wake_at_us = None;
                 let effects = self.nodes[scheduled.node].kernel.advance(self.now_us);
                 self.carry_out(scheduled.node, effects);
             }
@@ -248,9 +251,21 @@
         for effect in effects {
             self.carry_out_one(node, effect);
         }
-        if let Some(at_us) = self.nodes[node].kernel.next_timer_us() {
-            self.schedule(at_us.max(self.now_us), node, Delivery::Wake);
+        self.wake_for_timer(node);
+    }
+
+    /// Schedules the node for its next timer, unless it wakes by then anyway.
+    fn wake_for_timer(&mut self, node: usize) {
+        let Some(timer_us) = self.nodes[node].kernel.next_timer_us() else {
+            return;
+        };
+        let at_us = timer_us.max(self.now_us);
+        let wake_at_us = &mut self.nodes[node].wake_at_us;
+        if wake_at_us.is_some_and(|wake_at_us| wake_at_us <= at_us) {
+            return;
         }
+        *wake_at_us = Some(at_us);
+        self.schedule(at_us, node, Delivery::Wake);
     }
 
     fn carry_out_one(&mut self, node: usize, effect: Effect) {
