Run requests at most once by ticket or claim; bound retries by tokens

Cause: nothing kept a request from running twice, and nothing bounded retries.

Change: RunOnce issues tickets that only its own incarnation runs, keeps verdicts within a bound on bytes and age, and remembers used tickets as ranges. Claims are rows inserted in the table, several in one transaction; an insert whose answer was lost is sent again under the same nonce, so that the row that stands in its way is recognized. Allowance holds retry tokens that can't be copied; RetryLedger grants them per root request and keeps a budget per caller.

After Pending the caller sends CLAIMS_DUE to the service. - mark_sent returns whether the request may be sent: a ticket can become void between the release from the queue and the send. - ClaimDecided has the holder of a claim that another daemon holds, so that it can be asked. - void returns the calls that end by it; a peer's void sends ClaimDecided for each of them. - A refused claim is NotRun only where each copy was a first try; otherwise another copy may still be under way, and the verdict is MayHaveRun with a time to come back. The same daemon runs a later repeat.

Seen red before it was mended: what_falls_out_of_memory_never_runs_again, "1152" kept bytes against a bound of 1000, because a refusal did not drop old verdicts.

--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -1,10 +1,26 @@
 //! Running a request at most once: tickets and claims.
+//!
+//! A ticket may run only at the daemon incarnation that issued it, so it needs neither a clock nor
+//! a table. A claim is a row that one daemon inserts in the platform's table before it runs the
+//! request; it is never taken over.
+
+mod claim;
+mod ranges;
+mod run;
+mod service;
+mod settings;
+mod ticket;
 
 use macro_rules_attribute::apply;
 
 use crate::derives::{message, value};
-use crate::ids::{MemberId, ServiceName};
-use crate::verdict::Verdict;
+use crate::ids::{CallKey, MemberId, RequestId, ServiceName};
+use crate::request::{ClaimKey, RunKey};
+use crate::verdict::{Doubt, DoubtReason, Refusal, Verdict};
+
+pub use claim::ClaimHolder;
+pub use service::{CLAIMS_DUE, RunOnce};
+pub use settings::RunOnceSettings;
 
 /// The name of the run-once service.
 pub const NAME: &str = "run_once";
@@ -52,6 +68,15 @@
     NotIssuer,
 }
 
+/// A ticket that was to be void, and the calls that end by it.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Voided {
+    /// What became of the ticket.
+    pub outcome: VoidOutcome,
+    /// The queued call of the ticket and those that joined it; each gets a `TicketVoid` refusal.
+    pub cancelled: Vec<CallKey>,
+}
+
 /// Whether a request that must run at most once may run now.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Begin {
@@ -65,11 +90,67 @@
     Decided(Verdict),
 }
 
-/// The table's word on a claim.
+/// The word on a call that waits: for the table, or in the queue with a ticket that became void.
 #[derive(Clone, Debug, PartialEq)]
 pub struct ClaimDecided {
     /// The call.
-    pub call: crate::ids::CallKey,
+    pub call: CallKey,
     /// Whether it may run now; never `Pending`.
     pub begin: Begin,
+    /// The daemon that holds the claim, where it is another one that may still be asked.
+    pub holder: Option<ClaimHolder>,
+}
+
+/// A call that ended, and the calls that joined it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Settled {
+    /// The verdict of the call and of those that joined it.
+    pub verdict: Verdict,
+    /// The calls that joined it.
+    pub waiting: Vec<CallKey>,
+}
+
+/// Returns the key of a child call of a request that runs at most once.
+///
+/// The same parent and order give the same key, so that a repeat of the child does not run twice.
+pub fn child_key(parent: &RunKey, order: u32) -> RunKey {
+    let key = match parent {
+        RunKey::None => return RunKey::None,
+        RunKey::Ticket(ticket) => {
+            let Ticket { issuer, sequence } = ticket;
+            format!("child/ticket/{:016x}/{sequence}/{order}", issuer.0)
+        }
+        RunKey::Claim(claim) => format!("child/claim/{order}/{}", claim.key),
+    };
+    RunKey::Claim(ClaimKey {
+        key,
+        is_first_try: false,
+    })
+}
+
+/// Returns the identifier of a request that names none: the same for each try with the same key.
+pub fn request_of(key: &RunKey) -> Option<RequestId> {
+    let text = match key {
+        RunKey::None => return None,
+        RunKey::Ticket(ticket) => format!("ticket/{:016x}/{}", ticket.issuer.0, ticket.sequence),
+        RunKey::Claim(claim) => format!("claim/{}", claim.key),
+    };
+    Some(RequestId(xxhash_rust::xxh3::xxh3_64(text.as_bytes())))
+}
+
+/// Returns the verdict of a refusal by a daemon that does not hold the key of the request.
+///
+/// Another copy of the request may run elsewhere, so only a request without a key and the first
+/// try of a claim are certain not to have run.
+pub fn unheld_refusal(key: &RunKey, refusal: Refusal) -> Verdict {
+    let reason = match key {
+        RunKey::None => return Verdict::NotRun(refusal),
+        RunKey::Claim(claim) if claim.is_first_try => return Verdict::NotRun(refusal),
+        RunKey::Claim(_) => DoubtReason::ClaimHeld,
+        RunKey::Ticket(_) => DoubtReason::IssuerUnreachable,
+    };
+    Verdict::MayHaveRun(Doubt {
+        reason,
+        retry_after_ms: refusal.retry_after_ms,
+    })
 }
--- /dev/null
+++ b/tests/retry.rs
@@ -0,0 +1,127 @@
+//! Retry allowances and callers' retry budgets.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+use dragonflylug::ids::{Caller, RequestId};
+use dragonflylug::retry::{Allowance, RetryLedger, RetrySettings};
+use dragonflylug::verdict::RefusalReason;
+
+#[test]
+fn tokens_are_spent_handed_down_and_returned_but_never_made() {
+    let mut allowance = Allowance::new(3);
+    assert!(allowance.spend());
+    assert_eq!(allowance.hand_down(5), 2);
+    assert!(!allowance.spend());
+    allowance.give_back(1);
+    allowance.give_back(9);
+    assert_eq!(allowance.left(), 2);
+    allowance.give_back(9);
+    assert_eq!(allowance.left(), 2);
+}
+
+/// A try of a request: its identifier, what the caller offers and whether it is marked.
+struct Try {
+    request: Option<u64>,
+    offered: Option<u32>,
+    is_repeat: bool,
+    expected_tokens: u32,
+}
+
+fn check_tries(tries: &[Try]) {
+    let mut ledger = RetryLedger::new(RetrySettings::default());
+    let caller = Caller::from("kiosk");
+    for (at, one) in tries.iter().enumerate() {
+        let request = one.request.map(RequestId);
+        let opened = ledger.open_root(0, &caller, request, 3, one.offered, one.is_repeat);
+        let tokens = opened.unwrap().left();
+        assert_eq!(tokens, one.expected_tokens, "try {at}");
+        ledger.close_root(0, &caller, request, tokens.saturating_sub(1), false);
+    }
+}
+
+fn first(request: u64) -> Try {
+    Try {
+        request: Some(request),
+        offered: None,
+        is_repeat: false,
+        expected_tokens: 3,
+    }
+}
+
+cases! { check_tries:
+    each_new_request_gets_its_tokens => &[first(1), first(2)],
+    a_marked_repeat_brings_what_is_left => &[
+        first(1),
+        Try { offered: Some(2), is_repeat: true, expected_tokens: 2, ..first(1) },
+        Try { offered: Some(2), is_repeat: true, expected_tokens: 1, ..first(1) },
+    ],
+    a_repeat_that_offers_too_much_gets_what_is_left => &[
+        first(1),
+        Try { offered: Some(9), is_repeat: true, expected_tokens: 2, ..first(1) },
+    ],
+    an_unmarked_repeat_is_recognized => &[first(1), Try { expected_tokens: 0, ..first(1) }],
+    a_marked_repeat_from_another_daemon_brings_no_fresh_tokens => &[
+        Try { is_repeat: true, expected_tokens: 0, ..first(1) },
+    ],
+    a_request_without_a_name_is_granted_within_the_budget => &[
+        Try { request: None, ..first(1) },
+    ],
+}
+
+#[test]
+fn a_caller_that_hammers_is_refused_until_its_window_passes() {
+    let mut ledger = RetryLedger::new(RetrySettings::default());
+    let caller = Caller::from("kiosk");
+    let mut refusals = 0;
+    for _ in 0..100 {
+        let opened = ledger.open_root(0, &caller, Some(RequestId(1)), 3, None, true);
+        if let Err(refusal) = opened {
+            assert_eq!(refusal.reason, RefusalReason::RetryBudget);
+            assert_eq!(refusal.retry_after_ms, 10_000);
+            refusals += 1;
+        }
+    }
+    assert_eq!(refusals, 90);
+    let later_us = 20_000_000;
+    let opened = ledger.open_root(later_us, &caller, Some(RequestId(1)), 3, None, true);
+    assert!(opened.is_ok());
+}
+
+#[test]
+fn successes_let_a_caller_repeat_more() {
+    let mut ledger = RetryLedger::new(RetrySettings::default());
+    let caller = Caller::from("kiosk");
+    for request in 0..100 {
+        let request = Some(RequestId(request));
+        ledger
+            .open_root(0, &caller, request, 3, None, false)
+            .unwrap();
+        ledger.close_root(0, &caller, request, 0, true);
+    }
+    let mut repeats = 0;
+    while ledger
+        .open_root(0, &caller, Some(RequestId(1)), 3, None, true)
+        .is_ok()
+    {
+        repeats += 1;
+    }
+    assert_eq!(repeats, 30);
+}
+
+#[test]
+fn the_memory_for_callers_is_bounded() {
+    let settings = RetrySettings {
+        callers_max: 10,
+        ..RetrySettings::default()
+    };
+    let mut ledger = RetryLedger::new(settings);
+    for at in 0..100_u64 {
+        let caller = Caller::from(format!("caller {at}").as_str());
+        ledger
+            .open_root(at, &caller, Some(RequestId(at)), 3, None, false)
+            .unwrap();
+    }
+    assert_eq!(ledger.callers(), 10);
+}
--- /dev/null
+++ b/tests/run_once.rs
@@ -0,0 +1,227 @@
+//! Requests that must run at most once: tickets and claims under faults.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+#[path = "support/network.rs"]
+mod network;
+#[path = "support/runner.rs"]
+mod runner;
+
+use dragonflylug::calls;
+use dragonflylug::ids::{CallKey, MemberId, RequestId};
+use dragonflylug::kernel::Event;
+use dragonflylug::request::RunKey;
+use dragonflylug::run_once::{Begin, RunOnce, RunOnceSettings, Ticket, VoidOutcome, child_key};
+use dragonflylug::verdict::{DoubtReason, RefusalReason, Verdict};
+use network::{PlatformFault, ok_answer};
+use runner::{call, claim, nodes, refusal, runs, ticket, verdict};
+
+const ID: RequestId = RequestId(1);
+
+fn service() -> RunOnce {
+    RunOnce::new(RunOnceSettings::default(), MemberId(1))
+}
+
+/// The ways in which a ticket can be used before a copy of its request arrives.
+enum Used {
+    Never,
+    Queued,
+    Sent,
+    Ran,
+    Doubted,
+    DoubtedThenRan,
+    Refused,
+    Voided,
+}
+
+fn check_second_copy((used, expected): (Used, Begin)) {
+    let mut run_once = service();
+    let ticket = run_once.issue(0, 1).tickets[0];
+    let first = CallKey(1);
+    if !matches!(used, Used::Never | Used::Voided) {
+        assert_eq!(run_once.begin_ticket(0, first, ticket, ID), Begin::Run);
+    }
+    if matches!(
+        used,
+        Used::Sent | Used::Ran | Used::Doubted | Used::DoubtedThenRan
+    ) {
+        assert!(run_once.mark_sent(first));
+    }
+    match used {
+        Used::Never | Used::Queued | Used::Sent => {}
+        Used::Ran => drop(run_once.complete(1, first, Verdict::Ran(ok_answer()))),
+        Used::Doubted => {
+            let verdict = Verdict::may_have_run(DoubtReason::Deadline, 0);
+            run_once.complete(1, first, verdict);
+        }
+        Used::DoubtedThenRan => {
+            let verdict = Verdict::may_have_run(DoubtReason::Deadline, 0);
+            run_once.complete(1, first, verdict);
+            run_once.complete(2, first, Verdict::Ran(ok_answer()));
+        }
+        Used::Refused => drop(run_once.refuse(first, refusal(RefusalReason::Overload))),
+        Used::Voided => assert_eq!(run_once.void(ticket).outcome, VoidOutcome::Voided),
+    }
+    assert_eq!(run_once.begin_ticket(3, CallKey(2), ticket, ID), expected);
+}
+
+fn void_refusal() -> Begin {
+    Begin::Decided(Verdict::not_run(RefusalReason::TicketVoid, 0))
+}
+
+cases! { check_second_copy:
+    an_unused_ticket_runs => (Used::Never, Begin::Run),
+    a_copy_joins_a_queued_run => (Used::Queued, Begin::Joined),
+    a_copy_joins_a_run_that_was_sent => (Used::Sent, Begin::Joined),
+    a_copy_gets_the_kept_answer => (Used::Ran, Begin::Decided(Verdict::Ran(ok_answer()))),
+    a_copy_gets_the_kept_doubt => (
+        Used::Doubted,
+        Begin::Decided(Verdict::may_have_run(DoubtReason::Deadline, 0))
+    ),
+    a_late_answer_takes_the_place_of_a_doubt => (
+        Used::DoubtedThenRan,
+        Begin::Decided(Verdict::Ran(ok_answer()))
+    ),
+    a_refused_ticket_is_void => (Used::Refused, void_refusal()),
+    a_voided_ticket_never_runs => (Used::Voided, void_refusal()),
+}
+
+#[test]
+fn a_ticket_of_another_incarnation_may_have_run() {
+    let ticket = Ticket {
+        issuer: MemberId(7),
+        sequence: 0,
+    };
+    let begin = service().begin_ticket(0, CallKey(1), ticket, ID);
+    let expected = Verdict::may_have_run(DoubtReason::IssuerGone, 0);
+    assert_eq!(begin, Begin::Decided(expected));
+}
+
+#[test]
+fn a_ticket_with_another_request_gets_no_answer() {
+    let mut run_once = service();
+    let ticket = run_once.issue(0, 1).tickets[0];
+    run_once.begin_ticket(0, CallKey(1), ticket, ID);
+    assert!(run_once.mark_sent(CallKey(1)));
+    run_once.complete(0, CallKey(1), Verdict::Ran(ok_answer()));
+    let begin = run_once.begin_ticket(0, CallKey(2), ticket, RequestId(2));
+    let expected = Verdict::may_have_run(DoubtReason::ClaimHeld, 0);
+    assert_eq!(begin, Begin::Decided(expected));
+}
+
+#[test]
+fn a_voided_ticket_in_the_queue_is_not_sent() {
+    let mut run_once = service();
+    let ticket = run_once.issue(0, 1).tickets[0];
+    run_once.begin_ticket(0, CallKey(1), ticket, ID);
+    run_once.begin_ticket(0, CallKey(2), ticket, ID);
+    let voided = run_once.void(ticket);
+    assert_eq!(voided.outcome, VoidOutcome::Voided);
+    assert_eq!(voided.cancelled, [CallKey(1), CallKey(2)]);
+    assert!(!run_once.mark_sent(CallKey(1)));
+}
+
+#[test]
+fn what_falls_out_of_memory_never_runs_again() {
+    let settings = RunOnceSettings {
+        kept_answers_bytes_max: 1_000,
+        ticket_ranges_max: 8,
+        ..RunOnceSettings::default()
+    };
+    let mut run_once = RunOnce::new(settings, MemberId(1));
+    let mut tickets = Vec::new();
+    for at in 0..1_000 {
+        let ticket = run_once.issue(0, 1).tickets[0];
+        tickets.push(ticket);
+        run_once.begin_ticket(0, CallKey(at), ticket, ID);
+        if at % 3 == 0 {
+            run_once.refuse(CallKey(at), refusal(RefusalReason::Overload));
+            continue;
+        }
+        assert!(run_once.mark_sent(CallKey(at)));
+        run_once.complete(0, CallKey(at), Verdict::Ran(ok_answer()));
+    }
+    assert!(run_once.kept_bytes() <= 1_000, "{}", run_once.kept_bytes());
+    assert!(run_once.records() <= 32, "{}", run_once.records());
+    for (at, ticket) in tickets.into_iter().enumerate() {
+        let begin = run_once.begin_ticket(0, CallKey(5_000), ticket, ID);
+        let Begin::Decided(verdict) = begin else {
+            panic!("ticket {at}: {begin:?}");
+        };
+        assert!(at % 3 == 0 || verdict.name() != "not-run", "ticket {at}");
+    }
+}
+
+#[test]
+fn a_claim_runs_and_its_repeat_gets_the_kept_answer() {
+    let mut net = nodes(1);
+    call(&mut net, 0, 1, claim("k", true));
+    net.run_until(100_000);
+    call(&mut net, 0, 2, claim("k", false));
+    net.run_until(200_000);
+    assert_eq!(verdict(&net, 0, 1), Some(Verdict::Ran(ok_answer())));
+    assert_eq!(verdict(&net, 0, 2), Some(Verdict::Ran(ok_answer())));
+    assert_eq!(runs(&net), 1);
+}
+
+#[test]
+fn two_daemons_that_race_for_a_claim_run_it_once() {
+    let mut net = nodes(2);
+    call(&mut net, 0, 1, claim("k", true));
+    call(&mut net, 1, 1, claim("k", false));
+    net.run_until(100_000);
+    let held = Verdict::may_have_run(DoubtReason::ClaimHeld, 0);
+    assert_eq!(verdict(&net, 0, 1), Some(Verdict::Ran(ok_answer())));
+    assert_eq!(verdict(&net, 1, 1), Some(held));
+    assert_eq!(runs(&net), 1);
+}
+
+fn check_table_fault((fault, is_first_try, expected): (PlatformFault, bool, &str)) {
+    let mut net = nodes(1);
+    net.platform_fault = fault;
+    call(&mut net, 0, 1, claim("k", is_first_try));
+    net.run_until(400_000);
+    net.platform_fault = PlatformFault::None;
+    net.run_until(2_000_000);
+    assert_eq!(verdict(&net, 0, 1).unwrap().name(), expected);
+    let ran = usize::from(expected == "ran");
+    assert_eq!(runs(&net), ran);
+    call(&mut net, 0, 2, claim("k", false));
+    net.run_until(3_000_000);
+    assert_eq!(verdict(&net, 0, 2).unwrap().name(), "ran");
+    assert_eq!(runs(&net), 1);
+}
+
+cases! { check_table_fault:
+    a_first_try_did_not_run_while_the_table_is_down => (PlatformFault::Down, true, "not-run"),
+    a_repeat_may_have_run_while_the_table_is_down => (PlatformFault::Down, false, "may-have-run"),
+    an_insert_whose_answer_was_lost_is_found_again => (PlatformFault::AnswerLost, true, "ran"),
+    a_slow_table_delays_a_claim => (PlatformFault::Slow(300_000), true, "ran"),
+}
+
+#[test]
+fn a_child_has_one_key_for_each_order() {
+    let parent = RunKey::Ticket(Ticket {
+        issuer: MemberId(1),
+        sequence: 9,
+    });
+    assert_eq!(child_key(&parent, 0), child_key(&parent, 0));
+    assert_ne!(child_key(&parent, 0), child_key(&parent, 1));
+    assert_ne!(child_key(&child_key(&parent, 0), 1), child_key(&parent, 1));
+    assert_eq!(child_key(&RunKey::None, 0), RunKey::None);
+}
+
+#[test]
+fn a_caller_that_left_the_queue_leaves_a_void_ticket() {
+    let mut net = nodes(1);
+    net.event(0, calls::NAME, Event::Timer(1));
+    let ticket = ticket(&mut net, 0);
+    call(&mut net, 0, 1, RunKey::Ticket(ticket));
+    net.event(0, calls::NAME, Event::CallerGone(CallKey(1)));
+    call(&mut net, 0, 2, RunKey::Ticket(ticket));
+    net.run_until(100_000);
+    let expected = Verdict::not_run(RefusalReason::TicketVoid, 0);
+    assert_eq!(verdict(&net, 0, 2), Some(expected));
+    assert_eq!(runs(&net), 0);
+}
--- /dev/null
+++ b/tests/support/runner.rs
@@ -0,0 +1,237 @@
+//! A service in the place of `calls` that drives run-once alone, for a node of the fake network.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use dragonflylug::calls;
+use dragonflylug::ids::{CallKey, MemberId, RequestId, ServiceName};
+use dragonflylug::kernel::{
+    CallReply, Context, Effect, Event, Kernel, LinkError, Service, TargetOutcome,
+};
+use dragonflylug::peer::PeerAnswer;
+use dragonflylug::request::{CallRequest, ClaimKey, HttpRequest, RunKey};
+use dragonflylug::run_once::{Begin, CLAIMS_DUE, NAME, RunOnce, RunOnceSettings, Settled, Ticket};
+use dragonflylug::sorted::SortedMap;
+use dragonflylug::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
+
+use crate::network::Network;
+
+/// The time allowed for a run at the fake target.
+pub const RUN_TIMEOUT_US: u64 = 200_000;
+
+/// Begins, queues, sends and settles calls; what is queued goes out on `Event::Timer`.
+#[derive(Default)]
+pub struct Runner {
+    is_queueing: bool,
+    queued: Vec<CallKey>,
+    requests: SortedMap<CallKey, CallRequest>,
+}
+
+impl Runner {
+    fn act(&mut self, context: &mut Context<'_>, call: CallKey, begin: Begin) {
+        match begin {
+            Begin::Run if self.is_queueing => self.queued.push(call),
+            Begin::Run => self.send(context, call),
+            Begin::Joined => {}
+            Begin::Pending => context.send(NAME, CLAIMS_DUE),
+            Begin::Decided(verdict) => {
+                self.queued.retain(|queued| *queued != call);
+                reply(context, call, verdict);
+            }
+        }
+    }
+
+    fn send(&mut self, context: &mut Context<'_>, call: CallKey) {
+        if !run_once(context).mark_sent(call) {
+            return;
+        }
+        let http = self.requests.get(&call).unwrap().http.clone();
+        context.emit(Effect::SendTarget {
+            call,
+            http,
+            timeout_us: RUN_TIMEOUT_US,
+        });
+    }
+
+    fn begin(&mut self, context: &mut Context<'_>, call: CallKey, request: CallRequest) {
+        let now_us = context.now_us();
+        let id = request.request.unwrap();
+        let begin = match &request.run_key {
+            RunKey::None => Begin::Run,
+            RunKey::Ticket(ticket) => run_once(context).begin_ticket(now_us, call, *ticket, id),
+            RunKey::Claim(key) => run_once(context).begin_claim(now_us, call, key, id),
+        };
+        self.requests.insert(call, request);
+        self.act(context, call, begin);
+    }
+}
+
+impl Service for Runner {
+    fn name(&self) -> &'static str {
+        calls::NAME
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        match event {
+            Event::CallArrived { call, request } => self.begin(context, call, *request),
+            Event::ClaimDecided(decided) => self.act(context, decided.call, decided.begin),
+            Event::TargetAnswered { call, outcome } => {
+                let verdict = match outcome {
+                    TargetOutcome::Answered(answer) => Verdict::Ran(answer),
+                    TargetOutcome::NotSent => Verdict::NotRun(refusal(RefusalReason::Unreachable)),
+                    TargetOutcome::Lost => Verdict::may_have_run(DoubtReason::Deadline, 0),
+                };
+                let now_us = context.now_us();
+                let settled = run_once(context).complete(now_us, call, verdict);
+                settle(context, call, settled);
+            }
+            Event::CallerGone(call) => {
+                self.queued.retain(|queued| *queued != call);
+                let settled = run_once(context).refuse(call, refusal(RefusalReason::Cancelled));
+                settle(context, call, settled);
+            }
+            Event::Timer(0) => {
+                self.is_queueing = false;
+                for call in std::mem::take(&mut self.queued) {
+                    self.send(context, call);
+                }
+            }
+            Event::Timer(_) => self.is_queueing = true,
+            _ => {}
+        }
+    }
+}
+
+/// A service that asks a peer and keeps the answers.
+#[derive(Default)]
+pub struct Asker {
+    pub answers: Vec<Result<PeerAnswer, LinkError>>,
+}
+
+pub const ASKER: &str = "asker";
+
+impl Service for Asker {
+    fn name(&self) -> &'static str {
+        ASKER
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        match event {
+            Event::Asked { question, .. } => {
+                context.ask(address(0), question, 1_000_000);
+            }
+            Event::Answered { result, .. } => self.answers.push(result),
+            _ => {}
+        }
+    }
+}
+
+fn run_once<'c>(context: &'c mut Context<'_>) -> &'c mut RunOnce {
+    context.find::<RunOnce>(NAME).unwrap()
+}
+
+fn settle(context: &mut Context<'_>, call: CallKey, settled: Settled) {
+    reply(context, call, settled.verdict.clone());
+    for waiting in settled.waiting {
+        reply(context, waiting, settled.verdict.clone());
+    }
+}
+
+fn reply(context: &mut Context<'_>, call: CallKey, verdict: Verdict) {
+    let reply = Box::new(CallReply {
+        verdict,
+        retries_left: 0,
+        tickets: Vec::new(),
+    });
+    context.emit(Effect::Reply { call, reply });
+}
+
+pub fn refusal(reason: RefusalReason) -> Refusal {
+    Refusal {
+        reason,
+        retry_after_ms: 100,
+        is_elsewhere_worthwhile: false,
+    }
+}
+
+pub fn address(node: usize) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], 1_000 + node as u16))
+}
+
+/// Adds a node whose incarnation is `member`, at the address of `place`.
+pub fn add_node(net: &mut Network, place: usize, member: u64, settings: RunOnceSettings) -> usize {
+    let run_once = RunOnce::new(settings, MemberId(member)).with_address(address(place));
+    let mut kernel = Kernel::new(member);
+    kernel.register(Box::new(run_once));
+    kernel.register(Box::<Runner>::default());
+    kernel.register(Box::<Asker>::default());
+    net.add(address(place), kernel)
+}
+
+/// Makes a network of nodes whose members count from 1.
+pub fn nodes(count: usize) -> Network {
+    let mut net = Network::new(500);
+    for place in 0..count {
+        add_node(
+            &mut net,
+            place,
+            place as u64 + 1,
+            RunOnceSettings::default(),
+        );
+    }
+    net
+}
+
+pub fn claim(key: &str, is_first_try: bool) -> RunKey {
+    RunKey::Claim(ClaimKey {
+        key: key.to_string(),
+        is_first_try,
+    })
+}
+
+pub fn ticket(net: &mut Network, node: usize) -> Ticket {
+    let now_us = net.now_us;
+    let run_once = net.nodes[node].kernel.find::<RunOnce>(NAME).unwrap();
+    run_once.issue(now_us, 1).tickets[0]
+}
+
+/// Hands a call to a node now.
+pub fn call(net: &mut Network, node: usize, call: u64, run_key: RunKey) {
+    let request = CallRequest {
+        service: ServiceName::from("payouts"),
+        http: HttpRequest {
+            method: "POST".to_string(),
+            path: "/payout".to_string(),
+            headers: Vec::new(),
+            body: Default::default(),
+        },
+        caller: "clerk".into(),
+        request: Some(RequestId(1)),
+        parent: None,
+        deadline_left_ms: None,
+        retries_left: None,
+        is_repeat: false,
+        run_key,
+    };
+    let event = Event::CallArrived {
+        call: CallKey(call),
+        request: Box::new(request),
+    };
+    net.event(node, calls::NAME, event);
+}
+
+/// Returns the verdict that a call of a node got.
+pub fn verdict(net: &Network, node: usize, call: u64) -> Option<Verdict> {
+    for (_, key, reply) in &net.nodes[node].replies {
+        if *key == CallKey(call) {
+            return Some(reply.verdict.clone());
+        }
+    }
+    None
+}
+
+/// Returns the number of runs at the targets of all nodes.
+pub fn runs(net: &Network) -> usize {
+    net.nodes.iter().map(|node| node.runs.len()).sum()
+}
