Add the platform stand-in: table, object store, faults and counts over HTTP

Cause: daemons, the demo and tests need a platform that can be down, slow or lose answers. Ruled out: tiny_http here. It answers a dropped request with 500 and gives no way to close a kept-alive connection without an answer, which the fault answer_lost needs; a slow platform would also hold a thread for each request. hyper serves it on one thread. Rows are a tree, not a sorted vector: claims insert at random places among many. Not run yet: its contract tests come with the daemon's side of the protocol.

--- /dev/null
+++ b/standins/src/bin/platform-standin.rs
@@ -0,0 +1,27 @@
+//! Runs the platform stand-in on an address until it is ended.
+
+use std::net::SocketAddr;
+use std::process::ExitCode;
+
+use dragonflylug_standins::platform::Platform;
+
+const USAGE: &str = "usage: platform-standin ADDRESS\nexample: platform-standin 127.0.0.1:0";
+
+fn main() -> ExitCode {
+    let address: Option<SocketAddr> = std::env::args().nth(1).and_then(|text| text.parse().ok());
+    let Some(address) = address else {
+        eprintln!("{USAGE}");
+        return ExitCode::from(2);
+    };
+    let platform = match Platform::start(address) {
+        Ok(platform) => platform,
+        Err(error) => {
+            eprintln!("cannot listen on {address}: {error}");
+            return ExitCode::FAILURE;
+        }
+    };
+    println!("{}", platform.address());
+    loop {
+        std::thread::park();
+    }
+}
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,1 +1,3 @@
 //! Small stand-ins for the platform and the targets.
+
+pub mod platform;
