Add the configuration service and the daemon's settings

Cause: operators' records must be in force at every daemon within seconds and never revert; the daemon is written against the settings' field names. Change: records in the platform's table under one global version by compare-and-set; an accepted change is a row of its own, so daemons fetch what they lack and check it by a digest of all records; two pollers for each availability zone, digests of versions among daemons. Settings are checked field by field against the defaults' form and one table of ranges. Ruled out: a typed check in code for each field; serde's own errors, which lack the path.

--- a/src/config.rs
+++ b/src/config.rs
@@ -1,5 +1,26 @@
 //! Configuration: records of the operators, their versions and their spread.
 
+mod budget;
+mod catch_up;
+mod fetch;
+mod message;
+mod record;
+mod roster;
+mod rows;
+mod schema;
+mod service;
+mod settings;
+mod spread;
+mod state;
+mod submit;
+
+pub use message::Message;
+pub use record::FieldError;
+pub use schema::{RecordForm, SCHEMA_VERSION_MAX, SCHEMA_VERSION_MIN};
+pub use service::Config;
+pub use settings::ConfigSettings;
+pub use state::{Change, StoredRecord, Unreadable};
+
 use macro_rules_attribute::apply;
 
 use crate::derives::{message, value};
@@ -10,6 +31,7 @@
 
 /// What holds for one kind of request.
 #[apply(value!)]
+#[serde(deny_unknown_fields)]
 pub struct Policy {
     /// The importance.
     pub priority: Priority,
@@ -19,7 +41,8 @@
     pub retries: u32,
     /// The time allowed where the caller names none.
     pub deadline_ms: u32,
-    /// The time after which an idempotent request may be hedged; 0 for never.
+    /// The time after which an idempotent request may be hedged; 0 for never. Since schema 2.
+    #[serde(default)]
     pub hedge_after_ms: u32,
 }
 
@@ -98,13 +121,6 @@
     Unknown,
 }
 
-/// A configuration message between daemons.
-#[apply(message!)]
-pub enum Message {
-    /// Which version do you have?
-    Version(u64),
-}
-
 impl ConfigView {
     /// Returns the record of a service.
     pub fn record(&self, service: &ServiceName) -> Option<&ServiceRecord> {
--- /dev/null
+++ b/src/config/roster.rs
@@ -0,0 +1,125 @@
+//! What the configuration service knows of other daemons.
+
+use std::net::SocketAddr;
+
+use rand::RngExt;
+
+use crate::ids::{AvailabilityZone, MemberId};
+use crate::membership::{Member, MemberState};
+use crate::sorted::SortedMap;
+
+/// The seed of the rendezvous hash.
+const HASH_SEED: u64 = 0x636f_6e66_6967;
+
+/// The other daemons, and the order of the rendezvous hash.
+pub(super) struct Roster {
+    own_id: MemberId,
+    own_zone: AvailabilityZone,
+    /// The greatest schema that each daemon reads.
+    schemas: SortedMap<MemberId, u16>,
+    /// The daemons that are alive.
+    alive: SortedMap<(u64, MemberId), SocketAddr>,
+    /// The daemons of the own availability zone that are alive.
+    zone: SortedMap<(u64, MemberId), ()>,
+}
+
+/// Returns the place of a daemon in the order of the rendezvous hash.
+fn place(id: MemberId) -> (u64, MemberId) {
+    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED);
+    (hash, id)
+}
+
+impl Roster {
+    pub(super) fn new(own_id: MemberId, own_zone: AvailabilityZone) -> Self {
+        Self {
+            own_id,
+            own_zone,
+            schemas: SortedMap::default(),
+            alive: SortedMap::default(),
+            zone: SortedMap::default(),
+        }
+    }
+
+    /// Takes in what is known of a daemon.
+    pub(super) fn note(&mut self, member: &Member) {
+        if member.id == self.own_id {
+            return;
+        }
+        if member.state == MemberState::Gone {
+            self.forget(member.id);
+            return;
+        }
+        self.schemas.insert(member.id, member.schema_version);
+        let place = place(member.id);
+        if member.state != MemberState::Alive {
+            self.alive.remove(&place);
+            self.zone.remove(&place);
+            return;
+        }
+        self.alive.insert(place, member.address);
+        if member.availability_zone == self.own_zone {
+            self.zone.insert(place, ());
+        }
+    }
+
+    /// Forgets a daemon.
+    pub(super) fn forget(&mut self, id: MemberId) {
+        let place = place(id);
+        self.schemas.remove(&id);
+        self.alive.remove(&place);
+        self.zone.remove(&place);
+    }
+
+    /// Says whether this daemon is among the lowest of its availability zone.
+    pub(super) fn is_poller(&self, pollers: usize) -> bool {
+        let own = place(self.own_id);
+        match self.zone.entry_at(pollers.saturating_sub(1)) {
+            Some((other, ())) => own < *other,
+            None => true,
+        }
+    }
+
+    /// Returns the greatest schema that all daemons read.
+    pub(super) fn schema_version(&self, own: u16) -> u16 {
+        let mut least = own;
+        for schema_version in self.schemas.values() {
+            least = least.min(*schema_version);
+        }
+        least
+    }
+
+    /// Returns a daemon at random.
+    pub(super) fn any(&self, rng: &mut impl RngExt) -> Option<SocketAddr> {
+        if self.alive.is_empty() {
+            return None;
+        }
+        let at = rng.random_range(0..self.alive.len());
+        self.alive.entry_at(at).map(|(_, address)| *address)
+    }
+
+    /// Returns the next daemon in the order of the hash, so that each daemon is next to one.
+    fn next(&self) -> Option<SocketAddr> {
+        let own = place(self.own_id);
+        for (other, address) in self.alive.iter() {
+            if *other > own {
+                return Some(*address);
+            }
+        }
+        self.alive.entry_at(0).map(|(_, address)| *address)
+    }
+
+    /// Returns the daemons that are told of a new version: the next one and some at random.
+    pub(super) fn told(&self, count: usize, rng: &mut impl RngExt) -> Vec<SocketAddr> {
+        let mut told: Vec<SocketAddr> = self.next().into_iter().collect();
+        let wanted = count.min(self.alive.len());
+        while told.len() < wanted {
+            let Some(address) = self.any(rng) else {
+                break;
+            };
+            if !told.contains(&address) {
+                told.push(address);
+            }
+        }
+        told
+    }
+}
--- /dev/null
+++ b/src/config/rows.rs
@@ -0,0 +1,91 @@
+//! The rows of the configuration in the platform's table.
+
+use macro_rules_attribute::apply;
+
+use super::state::{Change, StoredRecord};
+use crate::derives::message;
+use crate::ids::ServiceName;
+use crate::table::Row;
+
+/// The key of the row with the global version.
+pub(super) const VERSION_KEY: &str = "config/version";
+
+/// The start of the keys of records.
+pub(super) const RECORD_PREFIX: &str = "config/record/";
+
+/// The start of the keys of recent changes.
+pub(super) const CHANGE_PREFIX: &str = "config/change/";
+
+/// The start of the keys of the operators' names of recent changes.
+const CHANGE_ID_PREFIX: &str = "config/change-id/";
+
+/// The global version.
+#[apply(message!)]
+pub(super) struct VersionRow {
+    pub(super) version: u64,
+    pub(super) digest: u64,
+}
+
+/// A change with the operator's name of it.
+#[apply(message!)]
+pub(super) struct ChangeRow {
+    pub(super) change_id: String,
+    pub(super) change: Change,
+}
+
+/// The version of a change that was accepted, and the hash of what was submitted.
+#[apply(message!)]
+pub(super) struct ChangeIdRow {
+    pub(super) version: u64,
+    pub(super) content: u64,
+}
+
+pub(super) fn record_key(service: &ServiceName) -> String {
+    format!("{RECORD_PREFIX}{service}")
+}
+
+/// Returns the key of a change; keys are in order of versions.
+pub(super) fn change_key(version: u64) -> String {
+    format!("{CHANGE_PREFIX}{version:020}")
+}
+
+pub(super) fn change_id_key(change_id: &str) -> String {
+    format!("{CHANGE_ID_PREFIX}{change_id}")
+}
+
+/// Returns the content of a row, or `None` where there is none that can be read.
+pub(super) fn content<T: serde::de::DeserializeOwned>(rows: &[Row], key: &str) -> Option<T> {
+    for row in rows {
+        if row.key == key {
+            return serde_json::from_str(&row.value).ok();
+        }
+    }
+    None
+}
+
+/// Returns the records in rows; one that cannot be read shows in the digest.
+pub(super) fn records(rows: &[Row]) -> Vec<StoredRecord> {
+    let mut records = Vec::new();
+    for row in rows {
+        if row.key.starts_with(RECORD_PREFIX) {
+            records.extend(serde_json::from_str::<StoredRecord>(&row.value));
+        }
+    }
+    records
+}
+
+/// Returns the changes in rows up to the first that cannot be read.
+pub(super) fn changes(rows: &[Row]) -> Vec<Change> {
+    let mut changes = Vec::new();
+    for row in rows {
+        let Ok(row) = serde_json::from_str::<ChangeRow>(&row.value) else {
+            break;
+        };
+        changes.push(row.change);
+    }
+    changes
+}
+
+pub(super) fn text<T: serde::Serialize>(row: &T) -> String {
+    serde_json::to_string(row).unwrap_or_default()
+}
--- /dev/null
+++ b/src/config/schema.rs
@@ -0,0 +1,79 @@
+//! The schemas of a record: written in each form that a live daemon needs, read in the newest.
+
+use macro_rules_attribute::apply;
+use serde_json::{Value, json};
+
+use super::ServiceRecord;
+use super::record::FieldError;
+use crate::derives::message;
+
+/// The oldest schema that is read and written.
+pub const SCHEMA_VERSION_MIN: u16 = 1;
+
+/// The newest schema; it added `hedge_after_ms` to the policy of a kind.
+pub const SCHEMA_VERSION_MAX: u16 = 2;
+
+/// One form of a record, as text that a daemon passes on even where it cannot read it.
+#[apply(message!)]
+pub struct RecordForm {
+    /// The schema of the form.
+    pub schema_version: u16,
+    /// The record in JSON.
+    pub body: String,
+}
+
+/// Writes a record in its own schema, and in an older one where some daemon reads only that.
+pub(super) fn write_forms(record: &ServiceRecord, oldest_reader: u16) -> Vec<RecordForm> {
+    let mut forms = vec![write_form(record, record.schema_version)];
+    if oldest_reader < record.schema_version {
+        forms.push(write_form(record, oldest_reader.max(SCHEMA_VERSION_MIN)));
+    }
+    forms
+}
+
+fn write_form(record: &ServiceRecord, schema_version: u16) -> RecordForm {
+    let mut value = json!(record);
+    value["schema_version"] = json!(schema_version);
+    if schema_version < 2 {
+        remove_schema_2(&mut value);
+    }
+    RecordForm {
+        schema_version,
+        body: value.to_string(),
+    }
+}
+
+fn remove_schema_2(record: &mut Value) {
+    let Some(kinds) = record["kinds"].as_array_mut() else {
+        return;
+    };
+    for kind in kinds {
+        if let Some(policy) = kind["policy"].as_object_mut() {
+            policy.remove("hedge_after_ms");
+        }
+    }
+}
+
+/// Reads the newest form that this daemon can read.
+pub(super) fn read_forms(
+    forms: &[RecordForm],
+    newest_read: u16,
+) -> Result<ServiceRecord, FieldError> {
+    let mut newest: Option<&RecordForm> = None;
+    for form in forms {
+        if form.schema_version > newest_read {
+            continue;
+        }
+        if newest.is_none_or(|other| other.schema_version < form.schema_version) {
+            newest = Some(form);
+        }
+    }
+    let Some(form) = newest else {
+        let problem = format!("no form up to {newest_read}, which this daemon reads");
+        return Err(FieldError::new("schema_version", problem));
+    };
+    let record: ServiceRecord = serde_json::from_str(&form.body)
+        .map_err(|error| FieldError::new("record", error.to_string()))?;
+    record.check()?;
+    Ok(record)
+}
--- /dev/null
+++ b/src/config/service.rs
@@ -0,0 +1,335 @@
+//! The configuration service: what is in force, what is asked, and what follows from it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use super::budget::ByteBudget;
+use super::fetch::Fetch;
+use super::roster::Roster;
+use super::state::{Change, Misfit, Readings, RecentChanges, State, Unreadable};
+use super::submit::{Submit, SubmitStep};
+use super::{ConfigSettings, ConfigView, NAME, Policy, Submission, SubmitOutcome};
+use crate::ids::{AskKey, AvailabilityZone, CallKey, MemberId, ServiceName};
+use crate::kernel::{Context, Effect, Event, Notice, Service, StateChange};
+use crate::metrics::Counter;
+use crate::operator::{OperatorReply, OperatorRequest};
+use crate::sorted::SortedMap;
+use crate::table::{PlatformError, TableResponse};
+
+/// The delay before a submission asks the table again, for each try so far.
+const SUBMIT_RETRY_US: u64 = 100_000;
+
+/// Timer tags; a tag from `SUBMIT` on belongs to one submission.
+pub(super) mod tag {
+    pub(in crate::config) const POLL: u64 = 1;
+    pub(in crate::config) const EXCHANGE: u64 = 2;
+    pub(in crate::config) const PUSH: u64 = 3;
+    pub(in crate::config) const RETRY: u64 = 4;
+    pub(in crate::config) const BEHIND: u64 = 5;
+    pub(in crate::config) const SUBMIT: u64 = 16;
+}
+
+/// What an answer is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum Purpose {
+    /// The fetch from the table.
+    TableFetch,
+    /// The fetch from another daemon.
+    PeerFetch,
+    /// Comparing versions with another daemon.
+    Exchange(SocketAddr),
+    /// Handing changes after a version to another daemon.
+    Push { to: SocketAddr, after: u64 },
+    /// A submission.
+    Submit(u64),
+}
+
+/// The configuration service of a daemon.
+pub struct Config {
+    pub(super) settings: ConfigSettings,
+    pub(super) roster: Roster,
+    pub(super) state: State,
+    pub(super) recent: RecentChanges,
+    pub(super) budget: ByteBudget,
+    pub(super) asks: SortedMap<AskKey, Purpose>,
+    pub(super) table_fetch: Option<Fetch>,
+    pub(super) peer_fetch: Option<Fetch>,
+    pub(super) needs_whole: bool,
+    pub(super) failures: u32,
+    pub(super) known_version: u64,
+    pub(super) is_confirmed: bool,
+    pub(super) behind_until_us: u64,
+    pub(super) expected_until_us: u64,
+    pub(super) is_push_set: bool,
+    pub(super) is_retry_set: bool,
+    pub(super) is_stopping: bool,
+    readings: Readings,
+    view: Arc<ConfigView>,
+    submits: SortedMap<u64, Submit>,
+}
+
+impl Config {
+    /// Makes the service of a daemon that has no configuration yet.
+    pub fn new(settings: ConfigSettings, own_id: MemberId, own_zone: AvailabilityZone) -> Self {
+        Self {
+            roster: Roster::new(own_id, own_zone),
+            state: State::default(),
+            recent: RecentChanges::default(),
+            budget: ByteBudget::new(settings.bytes_per_s_max),
+            asks: SortedMap::default(),
+            table_fetch: None,
+            peer_fetch: None,
+            needs_whole: false,
+            failures: 0,
+            known_version: 0,
+            is_confirmed: false,
+            behind_until_us: 0,
+            expected_until_us: 0,
+            is_push_set: false,
+            is_retry_set: false,
+            is_stopping: false,
+            readings: Readings::new(settings.schema_version_max),
+            view: Arc::default(),
+            submits: SortedMap::default(),
+            settings,
+        }
+    }
+
+    /// Returns the configuration in force.
+    pub fn view(&self) -> Arc<ConfigView> {
+        self.view.clone()
+    }
+
+    /// Returns the global version in force.
+    pub fn version(&self) -> u64 {
+        self.state.version
+    }
+
+    /// Returns what holds for a request, or `None` where no record names its service.
+    pub fn policy(&self, service: &ServiceName, method: &str, path: &str) -> Option<Policy> {
+        self.view.policy(service, method, path)
+    }
+
+    /// Returns the records that this daemon cannot read.
+    pub fn unreadable(&self) -> Vec<Unreadable> {
+        self.readings.unreadable()
+    }
+
+    /// Says whether a greater version is known, or none was heard of since a start or a pause.
+    /// [`Notice::ConfigChanged`] follows; but after `behind_max_ms` what is in force holds.
+    pub fn is_behind(&self) -> bool {
+        !self.is_confirmed || self.known_version > self.state.version
+    }
+
+    /// Applies changes in order; older ones are passed over.
+    pub(super) fn apply(
+        &mut self,
+        context: &mut Context<'_>,
+        changes: Vec<Change>,
+    ) -> Result<(), Misfit> {
+        let before = self.state.version;
+        let mut result = Ok(());
+        for change in changes {
+            if change.version <= self.state.version {
+                continue;
+            }
+            result = self.state.apply(&change);
+            if result.is_err() {
+                break;
+            }
+            self.read_change(context, &change);
+            self.recent.push(change, self.settings.recent_bytes_max);
+        }
+        if result == Err(Misfit::Digest) {
+            self.needs_whole = true;
+            context.count(Counter::plain("config_digest_mismatches"));
+        }
+        if self.state.version > before {
+            self.needs_whole &= result == Err(Misfit::Digest);
+            self.put_in_force(context);
+        }
+        result
+    }
+
+    /// Puts gathered records in force where their version is greater.
+    pub(super) fn adopt(&mut self, context: &mut Context<'_>, state: State) {
+        if state.version <= self.state.version {
+            return;
+        }
+        let before = std::mem::replace(&mut self.state, state);
+        self.recent.clear();
+        self.needs_whole = false;
+        self.readings.keep_only(&self.state);
+        let mut unreadable = Vec::new();
+        for (service, record) in self.state.records.iter() {
+            if before.records.get(service) == Some(record) {
+                continue;
+            }
+            unreadable.extend(self.readings.read(record).err());
+        }
+        for unreadable in unreadable {
+            tell_unreadable(context, &unreadable);
+        }
+        self.put_in_force(context);
+    }
+
+    fn read_change(&mut self, context: &mut Context<'_>, change: &Change) {
+        for service in &change.removed {
+            self.readings.remove(service);
+        }
+        for record in &change.changed {
+            if let Err(unreadable) = self.readings.read(record) {
+                tell_unreadable(context, &unreadable);
+            }
+        }
+    }
+
+    fn put_in_force(&mut self, context: &mut Context<'_>) {
+        let version = self.state.version;
+        self.view = self.readings.view(version);
+        self.known_version = self.known_version.max(version);
+        context.count(Counter::plain("config_versions_applied"));
+        let detail = format!("version {version}");
+        context.log(StateChange::new("config", "in force", detail));
+        context.publish(Notice::ConfigChanged(self.view.clone()));
+        self.set_push(context);
+    }
+
+    fn operator_asked(
+        &mut self,
+        context: &mut Context<'_>,
+        call: CallKey,
+        request: OperatorRequest,
+    ) {
+        match request {
+            OperatorRequest::Records => {
+                let reply = Box::new(OperatorReply::Records((*self.view).clone()));
+                context.emit(Effect::ReplyOperator { call, reply });
+            }
+            OperatorRequest::Submit(submission) => self.begin_submit(context, call, submission),
+        }
+    }
+
+    fn begin_submit(&mut self, context: &mut Context<'_>, call: CallKey, submission: Submission) {
+        if let Err(error) = submission.check(self.settings.schema_version_max) {
+            let outcome = SubmitOutcome::Invalid {
+                field: error.field,
+                problem: error.problem,
+            };
+            reply_submitted(context, call, outcome);
+            return;
+        }
+        let key = context.new_key();
+        let submit = Submit::new(call, submission, self.settings.changes_kept);
+        self.submits.insert(key, submit);
+        self.ask_submit(context, key);
+    }
+
+    fn ask_submit(&mut self, context: &mut Context<'_>, key: u64) {
+        let Some(submit) = self.submits.get(&key) else {
+            return;
+        };
+        let timeout_us = self.settings.table_timeout_ms * 1_000;
+        let ask = context.table(submit.request(), timeout_us);
+        self.asks.insert(ask, Purpose::Submit(key));
+    }
+
+    fn submit_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        key: u64,
+        result: Result<TableResponse, PlatformError>,
+    ) {
+        let oldest_reader = self.roster.schema_version(self.settings.schema_version_max);
+        let Some(submit) = self.submits.get_mut(&key) else {
+            return;
+        };
+        let call = submit.call;
+        match submit.take(result, oldest_reader) {
+            SubmitStep::Ask => self.ask_submit(context, key),
+            SubmitStep::AskLater => {
+                let delay_us = SUBMIT_RETRY_US * u64::from(submit.tries());
+                context.timer(delay_us, tag::SUBMIT + key);
+            }
+            SubmitStep::Reply(outcome) => {
+                self.submits.remove(&key);
+                self.note_outcome(context, &outcome);
+                reply_submitted(context, call, outcome);
+            }
+            SubmitStep::Accepted(change) => {
+                self.submits.remove(&key);
+                let version = change.version;
+                let applied = self.apply(context, vec![change]);
+                let outcome = SubmitOutcome::Accepted { version };
+                if applied.is_err() {
+                    self.note_outcome(context, &outcome);
+                }
+                reply_submitted(context, call, outcome);
+            }
+        }
+    }
+
+    /// An outcome tells of a version that this daemon may not have.
+    fn note_outcome(&mut self, context: &mut Context<'_>, outcome: &SubmitOutcome) {
+        let (SubmitOutcome::Accepted { version } | SubmitOutcome::Conflict { version }) = outcome
+        else {
+            return;
+        };
+        if *version > self.state.version {
+            self.set_behind(context, *version);
+            self.fetch_table(context);
+        }
+    }
+
+    fn table_answered(
+        &mut self,
+        context: &mut Context<'_>,
+        ask: AskKey,
+        result: Result<TableResponse, PlatformError>,
+    ) {
+        match self.asks.remove(&ask) {
+            Some(Purpose::Submit(key)) => self.submit_answered(context, key, result),
+            Some(Purpose::TableFetch) => self.table_fetched(context, result),
+            _ => {}
+        }
+    }
+}
+
+fn reply_submitted(context: &mut Context<'_>, call: CallKey, outcome: SubmitOutcome) {
+    let name = match outcome {
+        SubmitOutcome::Accepted { .. } => "accepted",
+        SubmitOutcome::Conflict { .. } => "conflict",
+        SubmitOutcome::Invalid { .. } => "invalid",
+        SubmitOutcome::Unavailable => "unavailable",
+        SubmitOutcome::Unknown => "unknown",
+    };
+    context.count(Counter::labelled("config_submissions", "outcome", name));
+    let reply = Box::new(OperatorReply::Submitted(outcome));
+    context.emit(Effect::ReplyOperator { call, reply });
+}
+
+fn tell_unreadable(context: &mut Context<'_>, unreadable: &Unreadable) {
+    context.count(Counter::plain("config_unreadable_records"));
+    let detail = format!("{}: {}", unreadable.service, unreadable.problem);
+    context.log(StateChange::new("config", "record cannot be read", detail));
+}
+
+impl Service for Config {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        match event {
+            Event::Started => self.started(context),
+            Event::Notice(notice) => self.noticed(context, notice),
+            Event::Timer(tag) if tag >= tag::SUBMIT => self.ask_submit(context, tag - tag::SUBMIT),
+            Event::Timer(tag) => self.timer_due(context, tag),
+            Event::Asked { inbound, question } => self.asked(context, inbound, question),
+            Event::Answered { ask, result } => self.answered(context, ask, result),
+            Event::TableAnswered { ask, result } => self.table_answered(context, ask, result),
+            Event::OperatorAsked { call, request } => self.operator_asked(context, call, request),
+            _ => {}
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -1,1 +1,139 @@
 //! The settings of a daemon, read from a JSON file.
+
+mod bounds;
+mod check;
+
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
+use std::path::{Path, PathBuf};
+
+use macro_rules_attribute::apply;
+use quick_error::quick_error;
+
+use crate::config::ConfigSettings;
+use crate::derives::{settings, value};
+use crate::ids::AvailabilityZone;
+
+pub use bounds::{Bound, bounds};
+
+/// The settings of a daemon.
+#[apply(settings!)]
+pub struct Settings {
+    /// The address that callers use.
+    pub caller_address: SocketAddr,
+    /// The address that operators use.
+    pub operator_address: SocketAddr,
+    /// The token that operators show.
+    pub operator_token: String,
+    /// The address that other daemons use.
+    pub peer_address: SocketAddr,
+    /// The loopback address at which the target beside the daemon announces itself and calls.
+    pub announce_address: SocketAddr,
+    /// The base address of the platform.
+    pub platform_url: String,
+    /// The time allowed for an answer of the platform.
+    pub platform_timeout_ms: u64,
+    /// The availability zone of the VM.
+    pub availability_zone: AvailabilityZone,
+    /// The log.
+    pub log: LogSettings,
+    /// The greatest body of a request or an answer.
+    pub body_bytes_max: usize,
+    /// The threads that serve calls.
+    pub call_threads_max: usize,
+    /// The connections of callers that are served at once.
+    pub call_connections_max: usize,
+    /// The settings of the configuration service.
+    pub config: ConfigSettings,
+}
+
+/// The settings of the log.
+#[apply(settings!)]
+#[derive(Default)]
+pub struct LogSettings {
+    /// The form of a line.
+    pub format: LogFormat,
+    /// The least level that is logged.
+    pub level: LogLevel,
+}
+
+/// The form of a log line.
+#[apply(value!)]
+#[serde(rename_all = "snake_case")]
+#[derive(Default)]
+pub enum LogFormat {
+    /// Plain text.
+    #[default]
+    Text,
+    /// One JSON object for each line.
+    Json,
+}
+
+/// The least level that is logged.
+#[apply(value!)]
+#[serde(rename_all = "snake_case")]
+#[derive(Default)]
+pub enum LogLevel {
+    /// Failures of the daemon itself.
+    Error,
+    /// Losses that the daemon works around.
+    Warn,
+    /// Changes of state.
+    #[default]
+    Info,
+    /// Details for developers.
+    Debug,
+}
+
+quick_error! {
+    /// Why settings cannot be used.
+    #[derive(Debug)]
+    pub enum SettingsError {
+        /// The file cannot be read.
+        Unreadable(file: PathBuf, error: std::io::Error) {
+            display("{}: cannot be read: {error}", file.display())
+            source(error)
+        }
+        /// The file is not JSON.
+        NotJson(file: PathBuf, error: serde_json::Error) {
+            display("{}: not JSON: {error}", file.display())
+            source(error)
+        }
+        /// A field is not allowed.
+        Field(file: PathBuf, field: String, problem: String) {
+            display("{}: {field}: {problem}", file.display())
+        }
+    }
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        let loopback = IpAddr::V4(Ipv4Addr::LOCALHOST);
+        Self {
+            caller_address: SocketAddr::new(loopback, 8080),
+            operator_address: SocketAddr::new(loopback, 8081),
+            operator_token: String::new(),
+            peer_address: SocketAddr::new(loopback, 8082),
+            announce_address: SocketAddr::new(loopback, 8083),
+            platform_url: "http://127.0.0.1:8090".into(),
+            platform_timeout_ms: 1_000,
+            availability_zone: "zone-1".into(),
+            log: LogSettings::default(),
+            body_bytes_max: 8 * 1024 * 1024,
+            call_threads_max: 64,
+            call_connections_max: 1_000,
+            config: ConfigSettings::default(),
+        }
+    }
+}
+
+impl Settings {
+    /// Reads and checks the settings in a file; fields that it leaves out keep their defaults.
+    pub fn read(path: &Path) -> Result<Self, SettingsError> {
+        let file = || path.to_path_buf();
+        let text = std::fs::read_to_string(path)
+            .map_err(|error| SettingsError::Unreadable(file(), error))?;
+        let given =
+            serde_json::from_str(&text).map_err(|error| SettingsError::NotJson(file(), error))?;
+        check::read(given).map_err(|error| SettingsError::Field(file(), error.field, error.problem))
+    }
+}
