Reach the platform over HTTP: table and object store on ureq

Cause: the services' table and object requests need a host that tells what was not done from what was lost. Change: HttpPlatform on bounded blocking threads; a refused connection, 503 and 4xx say not done, all else after sending says lost. After a timeout no idle connection is used again. Ruled out: one connection for each request (1 ms each); trusting the pool, which hands out one silent connection after the other. Not proved: a table that answers 5xx other than 503 counts as lost.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod calls;
 pub mod config;
+pub mod host;
 pub mod ids;
 pub mod kernel;
 pub mod membership;
--- /dev/null
+++ b/tests/platform.rs
@@ -0,0 +1,299 @@
+//! The platform's protocol: the daemon's side against the stand-in, fault by fault.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Barrier};
+use std::time::Duration;
+
+use dragonflylug::host::platform::HttpPlatform;
+use dragonflylug::table::{
+    Expected, ObjectRequest, ObjectResponse, ObjectStore, PlatformError, Row, TableRequest,
+    TableResponse, TableStore, TableWrite,
+};
+use dragonflylug_standins::platform::{Counts, Fault, FaultMode, Platform};
+use tokio::runtime::Runtime;
+
+const LONG: Duration = Duration::from_secs(30);
+const SHORT: Duration = Duration::from_secs(2);
+
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
+struct Stand {
+    runtime: Runtime,
+    platform: Platform,
+    client: HttpPlatform,
+}
+
+fn stand(timeout: Duration) -> Stand {
+    let platform = Platform::start(any_port()).unwrap();
+    let client = HttpPlatform::new(&format!("http://{}", platform.address()), timeout);
+    Stand {
+        runtime: Runtime::new().unwrap(),
+        platform,
+        client,
+    }
+}
+
+impl Stand {
+    fn table(&self, request: TableRequest) -> Result<TableResponse, PlatformError> {
+        self.runtime
+            .block_on(TableStore::request(&self.client, request))
+    }
+
+    fn object(&self, request: ObjectRequest) -> Result<ObjectResponse, PlatformError> {
+        self.runtime
+            .block_on(ObjectStore::request(&self.client, request))
+    }
+
+    fn set_fault(&self, mode: FaultMode, delay_ms: u64) {
+        self.platform.set_fault(Fault { mode, delay_ms });
+    }
+}
+
+fn write(key: &str, expected: Expected, value: Option<&str>) -> TableWrite {
+    TableWrite {
+        key: key.into(),
+        expected,
+        value: value.map(Into::into),
+    }
+}
+
+fn put(key: &str, expected: Expected, value: &str) -> TableRequest {
+    let writes = vec![write(key, expected, Some(value))];
+    TableRequest::Write { writes }
+}
+
+fn get(keys: &[&str]) -> TableRequest {
+    let keys = keys.iter().map(|key| key.to_string()).collect();
+    TableRequest::Get { keys }
+}
+
+fn row(key: &str, version: u64, value: &str) -> Row {
+    Row {
+        key: key.into(),
+        version,
+        value: value.into(),
+    }
+}
+
+fn scan(prefix: &str, after: Option<&str>, limit: u32) -> TableRequest {
+    TableRequest::Scan {
+        prefix: prefix.into(),
+        after: after.map(Into::into),
+        limit,
+    }
+}
+
+/// A request on a table that holds `a`, `p/1`, `p/2` and `q` under the versions 1 to 4.
+fn answers((request, expected): (TableRequest, TableResponse)) {
+    let stand = stand(LONG);
+    for key in ["a", "p/1", "p/2", "q"] {
+        stand.table(put(key, Expected::Absent, "old")).unwrap();
+    }
+    assert_eq!(stand.table(request), Ok(expected));
+}
+
+cases! { answers:
+    get_leaves_out_missing_rows => (
+        get(&["a", "missing", "q"]),
+        TableResponse::Rows(vec![row("a", 1, "old"), row("q", 4, "old")]),
+    ),
+    scan_reads_a_prefix_in_order => (
+        scan("p/", None, 10),
+        TableResponse::Rows(vec![row("p/1", 2, "old"), row("p/2", 3, "old")]),
+    ),
+    scan_goes_on_after_a_key => (
+        scan("p/", Some("p/1"), 10),
+        TableResponse::Rows(vec![row("p/2", 3, "old")]),
+    ),
+    scan_after_a_key_below_the_prefix_starts_at_the_prefix => (
+        scan("p/", Some("b"), 1),
+        TableResponse::Rows(vec![row("p/1", 2, "old")]),
+    ),
+    scan_keeps_to_its_limit => (
+        scan("p/", None, 1),
+        TableResponse::Rows(vec![row("p/1", 2, "old")]),
+    ),
+    write_with_the_right_version => (
+        put("a", Expected::Version(1), "new"),
+        TableResponse::Written(vec![5]),
+    ),
+    write_with_a_stale_version => (
+        put("a", Expected::Version(9), "new"),
+        TableResponse::Conflict(vec![row("a", 1, "old")]),
+    ),
+    write_where_a_row_must_be_absent => (
+        put("a", Expected::Absent, "new"),
+        TableResponse::Conflict(vec![row("a", 1, "old")]),
+    ),
+    write_of_a_missing_row_by_version => (
+        put("missing", Expected::Version(1), "new"),
+        TableResponse::Conflict(Vec::new()),
+    ),
+}
+
+#[test]
+fn a_transaction_writes_all_rows_or_none() {
+    let stand = stand(LONG);
+    stand.table(put("a", Expected::Any, "1")).unwrap();
+    let writes = vec![
+        write("b", Expected::Absent, Some("2")),
+        write("a", Expected::Absent, None),
+    ];
+    let conflict = TableResponse::Conflict(vec![row("a", 1, "1")]);
+    assert_eq!(stand.table(TableRequest::Write { writes }), Ok(conflict));
+    let rows = TableResponse::Rows(vec![row("a", 1, "1")]);
+    assert_eq!(stand.table(get(&["a", "b"])), Ok(rows));
+    let writes = vec![
+        write("b", Expected::Absent, Some("2")),
+        write("a", Expected::Version(1), None),
+    ];
+    stand.table(TableRequest::Write { writes }).unwrap();
+    let rows = TableResponse::Rows(vec![row("b", 2, "2")]);
+    assert_eq!(stand.table(get(&["a", "b"])), Ok(rows));
+}
+
+#[test]
+fn objects_are_written_and_read() {
+    let stand = stand(LONG);
+    let name = || "snapshot".to_string();
+    let read = || stand.object(ObjectRequest::Get { name: name() });
+    assert_eq!(read(), Ok(ObjectResponse::Missing));
+    let content = "text".to_string();
+    let request = ObjectRequest::Put {
+        name: name(),
+        content: content.clone(),
+    };
+    assert_eq!(stand.object(request), Ok(ObjectResponse::Written));
+    assert_eq!(read(), Ok(ObjectResponse::Content(content)));
+    let counts = Counts {
+        reads: 2,
+        writes: 1,
+    };
+    assert_eq!(stand.platform.counts(), counts);
+}
+
+/// A fault, the answer to a write under it, and whether the write took effect.
+fn fault_shows((mode, expected, took_effect): (FaultMode, PlatformError, bool)) {
+    let stand = stand(if mode == FaultMode::Slow { SHORT } else { LONG });
+    stand.set_fault(mode, 60_000);
+    let result = stand.table(put("a", Expected::Absent, "1"));
+    assert_eq!(result, Err(expected));
+    stand.set_fault(FaultMode::None, 0);
+    let rows = match took_effect {
+        true => vec![row("a", 1, "1")],
+        false => Vec::new(),
+    };
+    let patient = HttpPlatform::new(&format!("http://{}", stand.platform.address()), LONG);
+    let read = TableStore::request(&patient, get(&["a"]));
+    assert_eq!(stand.runtime.block_on(read), Ok(TableResponse::Rows(rows)));
+}
+
+cases! { fault_shows:
+    a_platform_that_is_down_did_nothing => (FaultMode::Down, PlatformError::NotDone, false),
+    a_lost_answer_of_a_write_that_took_effect =>
+        (FaultMode::AnswerLost, PlatformError::Lost, true),
+    an_answer_later_than_the_timeout_is_lost =>
+        (FaultMode::Slow, PlatformError::Lost, true),
+}
+
+#[test]
+fn a_refused_connection_did_nothing() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    drop(listener);
+    let client = HttpPlatform::new(&format!("http://{address}"), LONG);
+    let runtime = Runtime::new().unwrap();
+    let result = runtime.block_on(TableStore::request(&client, get(&["a"])));
+    assert_eq!(result, Err(PlatformError::NotDone));
+}
+
+#[test]
+fn a_slow_answer_within_the_timeout_is_taken() {
+    let stand = stand(LONG);
+    stand.set_fault(FaultMode::Slow, 20);
+    let rows = TableResponse::Rows(Vec::new());
+    assert_eq!(stand.table(get(&["a"])), Ok(rows));
+}
+
+/// The connections that go silent.
+const SILENT: usize = 3;
+
+/// Answers each connection's first request once all of the first ones have arrived; those first
+/// connections never answer again.
+fn serve_then_go_silent(listener: TcpListener) {
+    let barrier = Arc::new(Barrier::new(SILENT));
+    for (at, stream) in listener.incoming().enumerate() {
+        let Ok(stream) = stream else {
+            return;
+        };
+        let barrier = barrier.clone();
+        std::thread::spawn(move || {
+            let mut stream = BufReader::new(stream);
+            let is_silent_later = at < SILENT;
+            let mut answered = 0;
+            while read_request(&mut stream) {
+                if is_silent_later && answered == 1 {
+                    continue;
+                }
+                if is_silent_later {
+                    barrier.wait();
+                }
+                answered += 1;
+                let body = r#"{"rows":[]}"#;
+                let length = body.len();
+                let head = format!("HTTP/1.1 200 OK\r\ncontent-length: {length}\r\n\r\n");
+                let _ = stream.get_mut().write_all((head + body).as_bytes());
+            }
+        });
+    }
+}
+
+fn read_request(stream: &mut BufReader<TcpStream>) -> bool {
+    let mut length = 0;
+    loop {
+        let mut line = String::new();
+        match stream.read_line(&mut line) {
+            Ok(0) | Err(_) => return false,
+            Ok(_) => {}
+        }
+        let line = line.trim().to_ascii_lowercase();
+        if line.is_empty() {
+            break;
+        }
+        if let Some(value) = line.strip_prefix("content-length:") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    stream.read_exact(&mut body).is_ok()
+}
+
+#[test]
+fn after_one_silent_connection_the_other_idle_ones_are_not_used() {
+    let listener = TcpListener::bind(any_port()).unwrap();
+    let address = listener.local_addr().unwrap();
+    std::thread::spawn(move || serve_then_go_silent(listener));
+    let client = HttpPlatform::new(&format!("http://{address}"), SHORT);
+    let runtime = Runtime::new().unwrap();
+    let rows = Ok(TableResponse::Rows(Vec::new()));
+    let first: Vec<_> = (0..SILENT)
+        .map(|_| {
+            let client = client.clone();
+            runtime.spawn(async move { TableStore::request(&client, get(&["a"])).await })
+        })
+        .collect();
+    for answer in first {
+        assert_eq!(runtime.block_on(answer).unwrap(), rows);
+    }
+    let lost = runtime.block_on(TableStore::request(&client, get(&["a"])));
+    assert_eq!(lost, Err(PlatformError::Lost));
+    let answered = runtime.block_on(TableStore::request(&client, get(&["a"])));
+    assert_eq!(answered, rows);
+}
