--- a/src/settings.rs
+++ b/src/settings.rs
@@ -9,9 +9,14 @@
 use macro_rules_attribute::apply;
 use quick_error::quick_error;
 
+use crate::admission::AdmissionSettings;
 use crate::config::ConfigSettings;
 use crate::derives::{settings, value};
 use crate::ids::AvailabilityZone;
+use crate::membership::MembershipSettings;
+use crate::retry::RetrySettings;
+use crate::routing::RoutingSettings;
+use crate::run_once::RunOnceSettings;
 
 pub use bounds::{Bound, bounds};
 
@@ -42,7 +47,17 @@
     pub call_threads_max: usize,
     /// The connections of callers that are served at once.
     pub call_connections_max: usize,
-    /// The settings of the configuration service.
+    /// Which requests are sent to the target, wait or are refused.
+    pub admission: AdmissionSettings,
+    /// Which target takes a request.
+    pub routing: RoutingSettings,
+    /// The retry budgets of callers.
+    pub retry: RetrySettings,
+    /// Requests that run at most once.
+    pub run_once: RunOnceSettings,
+    /// How daemons find and watch each other.
+    pub membership: MembershipSettings,
+    /// How the operators' records are read and spread.
     pub config: ConfigSettings,
 }
 
@@ -121,6 +136,11 @@
             body_bytes_max: 8 * 1024 * 1024,
             call_threads_max: 64,
             call_connections_max: 1_000,
+            admission: AdmissionSettings::default(),
+            routing: RoutingSettings::default(),
+            retry: RetrySettings::default(),
+            run_once: RunOnceSettings::default(),
+            membership: MembershipSettings::default(),
             config: ConfigSettings::default(),
         }
     }
