--- a/src/bin/dragonflylugd.rs
+++ b/src/bin/dragonflylugd.rs
@@ -1,3 +1,43 @@
-//! The daemon.
+//! The daemon: takes calls and guards the target beside it.
 
-fn main() {}
+use std::process::ExitCode;
+
+use dragonflylug::cli::{DaemonArguments, daemon_arguments};
+use dragonflylug::host::{daemon, logs};
+use dragonflylug::settings::Settings;
+
+/// The exit code for settings that cannot be used.
+const EXIT_SETTINGS: u8 = 2;
+
+fn main() -> ExitCode {
+    let arguments = daemon_arguments().run();
+    let settings = match read_settings(&arguments) {
+        Ok(settings) => settings,
+        Err(error) => {
+            eprintln!("dragonflylugd: {error}");
+            return ExitCode::from(EXIT_SETTINGS);
+        }
+    };
+    if arguments.check {
+        println!("{}: ok", arguments.settings.display());
+        return ExitCode::SUCCESS;
+    }
+    logs::start(&settings.log);
+    match daemon::run(&settings) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dragonflylugd: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn read_settings(
+    arguments: &DaemonArguments,
+) -> Result<Settings, dragonflylug::settings::SettingsError> {
+    let mut settings = Settings::read(&arguments.settings)?;
+    if let Some(address) = arguments.caller_address {
+        settings.caller_address = address;
+    }
+    Ok(settings)
+}
--- /dev/null
+++ b/src/calls/entry.rs
@@ -0,0 +1,244 @@
+//! The entry role: takes calls, chooses targets, tries again within bounds and replies.
+
+mod attempt;
+mod plan;
+mod settle;
+mod tickets;
+
+use macro_rules_attribute::apply;
+
+use crate::derives::settings;
+use crate::ids::{AskKey, CallKey, MemberId};
+use crate::kernel::{Context, Event, Service};
+use crate::request::{CallRequest, RunKey};
+use crate::retry::Allowance;
+use crate::sorted::SortedMap;
+use crate::verdict::{DoubtReason, RefusalReason, Verdict};
+use plan::Plan;
+use tickets::TicketStock;
+
+/// The name of the service that takes calls.
+pub const NAME: &str = "entry";
+
+/// Settings of the entry role.
+#[apply(settings!)]
+pub struct EntrySettings {
+    /// The time after which a caller may try again where no better estimate is at hand.
+    pub retry_after_ms: u32,
+    /// The time allowed for a request where neither caller nor record names one.
+    pub deadline_ms: u32,
+    /// The retries of a root request where no record names a number.
+    pub retries: u32,
+    /// The number of tickets handed out at once.
+    pub tickets_per_block: u16,
+    /// The greatest depth of a call graph; deeper calls are refused.
+    pub depth_max: u8,
+}
+
+impl Default for EntrySettings {
+    fn default() -> Self {
+        Self {
+            retry_after_ms: 500,
+            deadline_ms: 10_000,
+            retries: 3,
+            tickets_per_block: 8,
+            depth_max: 32,
+        }
+    }
+}
+
+/// The calls that this daemon took.
+pub struct Entry {
+    settings: EntrySettings,
+    own_id: MemberId,
+    calls: SortedMap<CallKey, EntryCall>,
+    asks: SortedMap<AskKey, CallKey>,
+    tickets: TicketStock,
+}
+
+/// A call that this daemon took.
+struct EntryCall {
+    request: CallRequest,
+    plan: Plan,
+    run_key: RunKey,
+    is_own_ticket: bool,
+    allowance: Allowance,
+    tries: Vec<Try>,
+    tried: Vec<MemberId>,
+    was_sent: bool,
+}
+
+/// A question that waits for its answer.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+struct Try {
+    ask: AskKey,
+    member: MemberId,
+    sent_us: u64,
+    retries_lent: u32,
+    purpose: Purpose,
+}
+
+/// What a question is for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Purpose {
+    /// Running the request.
+    Call,
+    /// Getting tickets.
+    Tickets,
+}
+
+/// The timers of a call; the tag is the call's key times two plus the kind.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum TimerKind {
+    Deadline,
+    Hedge,
+}
+
+impl TimerKind {
+    fn tag(self, key: CallKey) -> u64 {
+        key.0 * 2 + u64::from(self == Self::Hedge)
+    }
+
+    fn of(tag: u64) -> (CallKey, Self) {
+        let kind = if tag.is_multiple_of(2) {
+            Self::Deadline
+        } else {
+            Self::Hedge
+        };
+        (CallKey(tag / 2), kind)
+    }
+}
+
+impl Entry {
+    /// Makes the entry role of a daemon.
+    pub fn new(settings: EntrySettings, own_id: MemberId) -> Self {
+        Self {
+            settings,
+            own_id,
+            calls: SortedMap::default(),
+            asks: SortedMap::default(),
+            tickets: TicketStock::default(),
+        }
+    }
+
+    /// Returns the number of calls that wait for their reply.
+    pub fn len(&self) -> usize {
+        self.calls.len()
+    }
+
+    /// Says whether no call waits for its reply.
+    pub fn is_empty(&self) -> bool {
+        self.calls.is_empty()
+    }
+
+    fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, request: CallRequest) {
+        let plan = Plan::new(context, &self.settings, &request);
+        let allowance = match plan.open_allowance(context, &request) {
+            Ok(allowance) => allowance,
+            Err(refusal) => {
+                self.refuse_at_once(context, key, &request, refusal);
+                return;
+            }
+        };
+        let deadline_us = plan.deadline_us;
+        let is_too_deep = plan.depth > self.settings.depth_max;
+        let run_key = request.run_key.clone();
+        let call = EntryCall {
+            request,
+            plan,
+            run_key,
+            is_own_ticket: false,
+            allowance,
+            tries: Vec::new(),
+            tried: Vec::new(),
+            was_sent: false,
+        };
+        self.calls.insert(key, call);
+        if is_too_deep {
+            let retry_after_ms = self.settings.retry_after_ms;
+            let verdict = Verdict::not_run(RefusalReason::BadRequest, retry_after_ms);
+            self.finish(context, key, verdict);
+            return;
+        }
+        let left_us = deadline_us.saturating_sub(context.now_us());
+        context.timer(left_us, TimerKind::Deadline.tag(key));
+        self.begin(context, key);
+    }
+
+    fn begin(&mut self, context: &mut Context<'_>, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if call.needs_ticket() {
+            self.get_ticket(context, key);
+            return;
+        }
+        self.attempt(context, key);
+        self.set_hedge_timer(context, key);
+    }
+
+    fn end_at_deadline(&mut self, context: &mut Context<'_>, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let retry_after_ms = self.settings.retry_after_ms;
+        let verdict = if call.was_sent {
+            Verdict::may_have_run(DoubtReason::Deadline, retry_after_ms)
+        } else {
+            Verdict::not_run(RefusalReason::Deadline, retry_after_ms)
+        };
+        self.finish(context, key, verdict);
+    }
+
+    /// The caller went away: what may run again is given up, what runs once goes on to its end.
+    fn end_without_caller(&mut self, context: &mut Context<'_>, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        if call.was_sent && call.run_key != RunKey::None {
+            return;
+        }
+        let retry_after_ms = self.settings.retry_after_ms;
+        let verdict = if call.was_sent {
+            Verdict::may_have_run(DoubtReason::Cancelled, retry_after_ms)
+        } else {
+            Verdict::not_run(RefusalReason::Cancelled, retry_after_ms)
+        };
+        self.finish(context, key, verdict);
+    }
+}
+
+impl EntryCall {
+    /// Says whether the request must run at most once and has no key yet.
+    fn needs_ticket(&self) -> bool {
+        !self.plan.policy.is_idempotent && self.run_key == RunKey::None
+    }
+
+    fn may_run_again(&self) -> bool {
+        self.run_key == RunKey::None
+    }
+
+    fn take_try(&mut self, ask: AskKey) -> Option<Try> {
+        let at = self.tries.iter().position(|one| one.ask == ask)?;
+        Some(self.tries.swap_remove(at))
+    }
+}
+
+impl Service for Entry {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        match event {
+            Event::CallArrived { call, request } => self.arrive(context, call, *request),
+            Event::CallerGone(call) => self.end_without_caller(context, call),
+            Event::Answered { ask, result } => self.hear_answer(context, ask, result),
+            Event::Timer(tag) => match TimerKind::of(tag) {
+                (key, TimerKind::Deadline) => self.end_at_deadline(context, key),
+                (key, TimerKind::Hedge) => self.hedge(context, key),
+            },
+            _ => {}
+        }
+    }
+}
--- /dev/null
+++ b/src/calls/entry/plan.rs
@@ -0,0 +1,121 @@
+//! What holds for a call: its policy, its place in the call graph and its allowance.
+
+use rand::Rng;
+
+use super::EntrySettings;
+use crate::calls::guard::{self, Guard, Parent};
+use crate::config::{self, Config, Policy};
+use crate::ids::{Priority, RequestId, RootId};
+use crate::kernel::Context;
+use crate::request::CallRequest;
+use crate::retry::{self, Allowance, RetryLedger};
+use crate::run_once;
+use crate::verdict::Refusal;
+
+/// Methods that may run more than once where no record says otherwise.
+const IDEMPOTENT_METHODS: [&str; 5] = ["DELETE", "GET", "HEAD", "OPTIONS", "PUT"];
+
+/// What holds for a call.
+#[derive(Clone, Debug)]
+pub(super) struct Plan {
+    pub(super) request: RequestId,
+    pub(super) root: RootId,
+    pub(super) depth: u8,
+    pub(super) priority: Priority,
+    pub(super) deadline_us: u64,
+    pub(super) policy: Policy,
+    pub(super) parent: Option<Parent>,
+}
+
+impl Plan {
+    /// Finds the policy and the running parent of a request.
+    pub(super) fn new(
+        context: &mut Context<'_>,
+        settings: &EntrySettings,
+        request: &CallRequest,
+    ) -> Self {
+        let policy = find_policy(context, settings, request);
+        let parent = find_parent(context, request);
+        let named = request
+            .request
+            .or_else(|| run_once::request_of(&request.run_key));
+        let id = named.unwrap_or_else(|| RequestId(context.rng().next_u64()));
+        let left_ms = request.deadline_left_ms.unwrap_or(policy.deadline_ms);
+        let own_deadline_us = context.now_us() + u64::from(left_ms) * 1_000;
+        match parent {
+            None => Self {
+                request: id,
+                root: RootId(id.0),
+                depth: 0,
+                priority: policy.priority,
+                deadline_us: own_deadline_us,
+                policy,
+                parent: None,
+            },
+            Some(parent) => Self {
+                request: id,
+                root: parent.root,
+                depth: parent.depth.saturating_add(1),
+                priority: parent.priority,
+                deadline_us: own_deadline_us.min(parent.deadline_us),
+                policy,
+                parent: Some(parent),
+            },
+        }
+    }
+
+    /// Returns the retries that the call may spend, or why it is refused.
+    pub(super) fn open_allowance(
+        &self,
+        context: &mut Context<'_>,
+        request: &CallRequest,
+    ) -> Result<Allowance, Refusal> {
+        if let Some(parent) = &self.parent {
+            let guard = context.find::<Guard>(guard::NAME);
+            let lent = guard.map_or(0, |guard| guard.lend_retries(parent.request));
+            return Ok(Allowance::new(lent));
+        }
+        if request.is_from_target || request.parent.is_some() {
+            return Ok(Allowance::new(0));
+        }
+        let now_us = context.now_us();
+        let Some(ledger) = context.find::<RetryLedger>(retry::NAME) else {
+            return Ok(Allowance::new(0));
+        };
+        ledger.open_root(
+            now_us,
+            &request.caller,
+            request.request,
+            self.policy.retries,
+            request.retries_left,
+            request.is_repeat,
+        )
+    }
+}
+
+fn find_policy(
+    context: &mut Context<'_>,
+    settings: &EntrySettings,
+    request: &CallRequest,
+) -> Policy {
+    let (method, path) = (request.http.method.as_str(), request.http.path.as_str());
+    let config = context.find::<Config>(config::NAME);
+    if let Some(policy) = config.and_then(|config| config.policy(&request.service, method, path)) {
+        return policy;
+    }
+    Policy {
+        priority: Priority::Normal,
+        is_idempotent: IDEMPOTENT_METHODS.binary_search(&method).is_ok(),
+        retries: settings.retries,
+        deadline_ms: settings.deadline_ms,
+        hedge_after_ms: 0,
+    }
+}
+
+fn find_parent(context: &mut Context<'_>, request: &CallRequest) -> Option<Parent> {
+    let parent = request.parent?;
+    if !request.is_from_target {
+        return None;
+    }
+    context.find::<Guard>(guard::NAME)?.parent(parent)
+}
--- /dev/null
+++ b/src/calls/entry/settle.rs
@@ -0,0 +1,122 @@
+//! The end of a call at the entry daemon: the reply and what is given back.
+
+use super::{Entry, EntryCall};
+use crate::calls::guard::{self, Guard};
+use crate::ids::CallKey;
+use crate::kernel::{CallReply, Context, Effect};
+use crate::metrics::Counter;
+use crate::request::{CallRequest, RunKey};
+use crate::retry::{self, RetryLedger};
+use crate::routing::{self, Router, TryOutcome};
+use crate::run_once::{self, Ticket};
+use crate::verdict::{Refusal, Verdict};
+
+impl Entry {
+    /// Refuses a call that was never taken up.
+    pub(super) fn refuse_at_once(
+        &mut self,
+        context: &mut Context<'_>,
+        key: CallKey,
+        request: &CallRequest,
+        refusal: Refusal,
+    ) {
+        let verdict = run_once::unheld_refusal(&request.run_key, refusal);
+        count(context, &verdict);
+        let retries_left = request.retries_left.unwrap_or(0);
+        let reply = CallReply {
+            verdict,
+            retries_left,
+            tickets: Vec::new(),
+        };
+        context.emit(Effect::Reply {
+            call: key,
+            reply: Box::new(reply),
+        });
+    }
+
+    pub(super) fn finish(&mut self, context: &mut Context<'_>, key: CallKey, verdict: Verdict) {
+        self.finish_with_tickets(context, key, verdict, Vec::new());
+    }
+
+    pub(super) fn finish_with_tickets(
+        &mut self,
+        context: &mut Context<'_>,
+        key: CallKey,
+        verdict: Verdict,
+        tickets: Vec<Ticket>,
+    ) {
+        let Some(call) = self.calls.remove(&key) else {
+            return;
+        };
+        self.give_up_tries(context, &call);
+        let verdict = if call.was_sent || call.is_own_ticket {
+            verdict
+        } else {
+            without_holder(&call.run_key, verdict)
+        };
+        count(context, &verdict);
+        let succeeded = matches!(&verdict, Verdict::Ran(answer) if answer.status < 500);
+        close_allowance(context, &call, succeeded);
+        let retries_left = call.allowance.left();
+        let reply = CallReply {
+            verdict,
+            retries_left,
+            tickets,
+        };
+        context.emit(Effect::Reply {
+            call: key,
+            reply: Box::new(reply),
+        });
+    }
+
+    fn give_up_tries(&mut self, context: &mut Context<'_>, call: &EntryCall) {
+        for one in &call.tries {
+            self.asks.remove(&one.ask);
+            context.cancel_ask(one.ask);
+            let now_us = context.now_us();
+            let Some(router) = context.find::<Router>(routing::NAME) else {
+                continue;
+            };
+            let latency_us = now_us.saturating_sub(one.sent_us);
+            router.ended(now_us, one.member, TryOutcome::Cancelled, latency_us, None);
+        }
+    }
+}
+
+/// What was not sent now may have run in an earlier try of the same key.
+fn without_holder(run_key: &RunKey, verdict: Verdict) -> Verdict {
+    match verdict {
+        Verdict::NotRun(refusal) => run_once::unheld_refusal(run_key, refusal),
+        verdict => verdict,
+    }
+}
+
+fn count(context: &mut Context<'_>, verdict: &Verdict) {
+    let counter = match verdict {
+        Verdict::Ran(_) => Counter::plain("answers"),
+        Verdict::NotRun(refusal) => Counter::refused(refusal.reason),
+        Verdict::MayHaveRun(doubt) => Counter::doubted(doubt.reason),
+    };
+    context.count(counter);
+}
+
+fn close_allowance(context: &mut Context<'_>, call: &EntryCall, succeeded: bool) {
+    let left = call.allowance.left();
+    if let Some(parent) = &call.plan.parent {
+        if let Some(guard) = context.find::<Guard>(guard::NAME) {
+            guard.end_child(parent.request, left, !succeeded);
+        }
+        return;
+    }
+    let now_us = context.now_us();
+    let Some(ledger) = context.find::<RetryLedger>(retry::NAME) else {
+        return;
+    };
+    ledger.close_root(
+        now_us,
+        &call.request.caller,
+        call.request.request,
+        left,
+        succeeded,
+    );
+}
--- /dev/null
+++ b/src/calls/guard/drain.rs
@@ -0,0 +1,48 @@
+//! The planned stop of a guard: no new work, and the end of what is in flight.
+
+use super::{DRAIN_TIMER, Guard};
+use crate::calls::entry::{self, Entry};
+use crate::kernel::{Context, Effect, StateChange};
+
+/// The time between two looks whether all work has ended.
+const LOOK_PERIOD_US: u64 = 50_000;
+
+/// How far a planned stop has come.
+#[derive(Default)]
+pub(super) struct Drain {
+    linger_until_us: Option<u64>,
+    is_over: bool,
+}
+
+impl Drain {
+    pub(super) fn start(&mut self, linger_until_us: u64) {
+        self.linger_until_us.get_or_insert(linger_until_us);
+    }
+
+    pub(super) fn is_stopping(&self) -> bool {
+        self.linger_until_us.is_some()
+    }
+}
+
+impl Guard {
+    /// Ends the node once nothing is in flight and peers had time to learn of the stop.
+    pub(super) fn look_for_end(&mut self, context: &mut Context<'_>) {
+        let Some(linger_until_us) = self.drain.linger_until_us else {
+            return;
+        };
+        if self.drain.is_over {
+            return;
+        }
+        let entry_calls = context
+            .find::<Entry>(entry::NAME)
+            .map_or(0, |entry| entry.len());
+        let in_flight = entry_calls + self.calls.len();
+        if context.now_us() < linger_until_us || in_flight > 0 {
+            context.timer(LOOK_PERIOD_US, DRAIN_TIMER);
+            return;
+        }
+        self.drain.is_over = true;
+        context.log(StateChange::new("guard", "stopped", "nothing is in flight"));
+        context.emit(Effect::Stopped);
+    }
+}
--- a/src/derives.rs
+++ b/src/derives.rs
@@ -19,7 +19,6 @@
 }
 
 /// Derives for settings: every field has a default and unknown fields are refused.
-#[allow(unused_macros)]
 macro_rules! settings {
     ($($item:tt)*) => {
         #[derive(Clone, Debug, PartialEq, serde::Serialize, serde::Deserialize)]
@@ -27,7 +26,4 @@
         $($item)*
     };
 }
-
-#[allow(unused_imports)]
-pub(crate) use settings;
-pub(crate) use {message, value};
+pub(crate) use {message, settings, value};
--- a/src/host.rs
+++ b/src/host.rs
@@ -1,3 +1,356 @@
-//! The hosts: they carry out effects and hold no policy.
+//! The host of a node: carries out its effects over sockets and hands it what arrives.
 
+pub mod caller;
+pub mod daemon;
+pub mod http;
+pub mod logs;
+pub mod metrics;
+pub mod operator;
+pub mod peer;
 pub mod platform;
+pub mod target;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
+use std::time::{Duration, Instant};
+
+use tokio::sync::{Notify, oneshot};
+use tokio::task::AbortHandle;
+
+use crate::calls;
+use crate::ids::{AskKey, CallKey, InboundKey};
+use crate::kernel::{CallReply, Effect, Event, Input, Kernel, LinkError, StateChange};
+use crate::metrics::MetricSink;
+use crate::operator::OperatorReply;
+use crate::peer::{PeerAnswer, PeerQuestion};
+use crate::request::HttpRequest;
+use crate::sorted::SortedMap;
+use crate::table::{
+    ObjectRequest, ObjectResponse, ObjectStore, Pending, PlatformError, TableRequest,
+    TableResponse, TableStore,
+};
+
+/// A clock that only goes forward.
+pub trait Clock: Send + Sync {
+    /// Returns the time since the node's start.
+    fn now_us(&self) -> u64;
+}
+
+/// The clock of the machine.
+pub struct MonotonicClock {
+    start: Instant,
+}
+
+impl Default for MonotonicClock {
+    fn default() -> Self {
+        Self {
+            start: Instant::now(),
+        }
+    }
+}
+
+impl Clock for MonotonicClock {
+    fn now_us(&self) -> u64 {
+        u64::try_from(self.start.elapsed().as_micros()).unwrap_or(u64::MAX)
+    }
+}
+
+/// Links to other daemons.
+pub trait PeerLink: Send + Sync {
+    /// Asks the daemon at an address.
+    fn ask(
+        &self,
+        to: SocketAddr,
+        question: PeerQuestion,
+        timeout: Duration,
+    ) -> Pending<'_, Result<PeerAnswer, LinkError>>;
+}
+
+/// The link to the target beside the daemon.
+pub trait TargetLink: Send + Sync {
+    /// Sends a request to the target that announced itself last.
+    fn send(
+        &self,
+        http: HttpRequest,
+        timeout: Duration,
+    ) -> Pending<'_, crate::kernel::TargetOutcome>;
+}
+
+/// What a host puts at the borders of a node.
+pub struct Links {
+    /// The clock.
+    pub clock: Box<dyn Clock>,
+    /// The links to other daemons.
+    pub peers: Box<dyn PeerLink>,
+    /// The link to the target.
+    pub target: Arc<dyn TargetLink>,
+    /// The platform's table.
+    pub table: Box<dyn TableStore>,
+    /// The platform's object store.
+    pub objects: Box<dyn ObjectStore>,
+    /// The counters.
+    pub metrics: Arc<dyn MetricSink>,
+}
+
+/// A node that runs on sockets and the machine's clock.
+pub struct Node {
+    kernel: Mutex<Kernel>,
+    links: Links,
+    waiting: Mutex<Waiting>,
+    timers_changed: Notify,
+    stopped: Notify,
+    runtime: OnceLock<tokio::runtime::Handle>,
+}
+
+/// Who waits for what the node will say.
+#[derive(Default)]
+struct Waiting {
+    next_key: u64,
+    callers: SortedMap<CallKey, oneshot::Sender<CallReply>>,
+    operators: SortedMap<CallKey, std::sync::mpsc::Sender<OperatorReply>>,
+    inbound: SortedMap<InboundKey, oneshot::Sender<PeerAnswer>>,
+    asks: SortedMap<AskKey, AbortHandle>,
+    targets: SortedMap<CallKey, AbortHandle>,
+}
+
+fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+impl Node {
+    /// Makes a node of a kernel and its links; [`Node::start`] sets it going.
+    pub fn new(kernel: Kernel, links: Links) -> Arc<Self> {
+        Arc::new(Self {
+            kernel: Mutex::new(kernel),
+            links,
+            waiting: Mutex::default(),
+            timers_changed: Notify::new(),
+            stopped: Notify::new(),
+            runtime: OnceLock::new(),
+        })
+    }
+
+    /// Starts the node's services and its timers; must run inside a tokio runtime.
+    pub fn start(self: &Arc<Self>) {
+        let _ = self.runtime.set(tokio::runtime::Handle::current());
+        let effects = lock(&self.kernel).start(self.links.clock.now_us());
+        self.carry_out(effects);
+        let node = Arc::clone(self);
+        tokio::spawn(async move { node.run_timers().await });
+    }
+
+    /// Hands an input to the node and carries out what it says.
+    pub fn submit(self: &Arc<Self>, input: Input) {
+        let (effects, is_timer_sooner) = {
+            let mut kernel = lock(&self.kernel);
+            let before_us = kernel.next_timer_us();
+            let effects = kernel.handle(self.links.clock.now_us(), input);
+            (effects, kernel.next_timer_us() != before_us)
+        };
+        if is_timer_sooner {
+            self.timers_changed.notify_one();
+        }
+        self.carry_out(effects);
+    }
+
+    /// Hands an input to the node from a thread outside the runtime.
+    pub fn submit_from_thread(self: &Arc<Self>, input: Input) {
+        let Some(runtime) = self.runtime.get() else {
+            return;
+        };
+        let _entered = runtime.enter();
+        self.submit(input);
+    }
+
+    /// Reads the node's services.
+    pub fn inspect<R>(&self, read: impl FnOnce(&mut Kernel) -> R) -> R {
+        read(&mut lock(&self.kernel))
+    }
+
+    /// Waits until a planned stop has ended all work.
+    pub async fn stopped(&self) {
+        self.stopped.notified().await;
+    }
+
+    /// Registers a caller that waits for a reply.
+    pub fn open_call(&self) -> (CallKey, oneshot::Receiver<CallReply>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = lock(&self.waiting);
+        let key = CallKey(waiting.new_key());
+        waiting.callers.insert(key, sender);
+        (key, receiver)
+    }
+
+    /// Forgets a caller that went away.
+    pub fn drop_call(self: &Arc<Self>, key: CallKey) {
+        if lock(&self.waiting).callers.remove(&key).is_some() {
+            self.submit(Input::Event(calls::entry::NAME, Event::CallerGone(key)));
+        }
+    }
+
+    /// Registers an operator that waits for a reply.
+    pub fn open_operator(&self) -> (CallKey, std::sync::mpsc::Receiver<OperatorReply>) {
+        let (sender, receiver) = std::sync::mpsc::channel();
+        let mut waiting = lock(&self.waiting);
+        let key = CallKey(waiting.new_key());
+        waiting.operators.insert(key, sender);
+        (key, receiver)
+    }
+
+    /// Registers a peer that waits for an answer.
+    pub fn open_inbound(&self) -> (InboundKey, oneshot::Receiver<PeerAnswer>) {
+        let (sender, receiver) = oneshot::channel();
+        let mut waiting = lock(&self.waiting);
+        let key = InboundKey(waiting.new_key());
+        waiting.inbound.insert(key, sender);
+        (key, receiver)
+    }
+
+    /// Forgets a peer that gave its question up.
+    pub fn drop_inbound(self: &Arc<Self>, key: InboundKey) {
+        if lock(&self.waiting).inbound.remove(&key).is_some() {
+            self.submit(Input::Event(calls::NAME, Event::AskDropped(key)));
+        }
+    }
+
+    async fn run_timers(self: Arc<Self>) {
+        loop {
+            let next_us = lock(&self.kernel).next_timer_us();
+            let wait_us = next_us.map(|at_us| at_us.saturating_sub(self.links.clock.now_us()));
+            let changed = self.timers_changed.notified();
+            match wait_us {
+                None => changed.await,
+                Some(0) => {}
+                Some(wait_us) => {
+                    let _ = tokio::time::timeout(Duration::from_micros(wait_us), changed).await;
+                }
+            }
+            let effects = lock(&self.kernel).advance(self.links.clock.now_us());
+            self.carry_out(effects);
+        }
+    }
+
+    fn carry_out(self: &Arc<Self>, effects: Vec<Effect>) {
+        for effect in effects {
+            self.carry_out_one(effect);
+        }
+    }
+
+    fn carry_out_one(self: &Arc<Self>, effect: Effect) {
+        match effect {
+            Effect::Ask {
+                ask,
+                to,
+                question,
+                timeout_us,
+            } => {
+                self.ask(ask, to, question, timeout_us);
+            }
+            Effect::CancelAsk { ask } => {
+                let handle = lock(&self.waiting).asks.remove(&ask);
+                abort(handle);
+            }
+            Effect::Answer { inbound, answer } => {
+                if let Some(sender) = lock(&self.waiting).inbound.remove(&inbound) {
+                    let _ = sender.send(answer);
+                }
+            }
+            Effect::Table {
+                ask,
+                request,
+                timeout_us,
+            } => self.table(ask, request, timeout_us),
+            Effect::Object {
+                ask,
+                request,
+                timeout_us,
+            } => self.object(ask, request, timeout_us),
+            Effect::Reply { call, reply } => {
+                if let Some(sender) = lock(&self.waiting).callers.remove(&call) {
+                    let _ = sender.send(*reply);
+                }
+            }
+            Effect::ReplyOperator { call, reply } => {
+                if let Some(sender) = lock(&self.waiting).operators.remove(&call) {
+                    let _ = sender.send(*reply);
+                }
+            }
+            Effect::SendTarget {
+                call,
+                http,
+                timeout_us,
+            } => self.target(call, http, timeout_us),
+            Effect::CancelTarget { call } => {
+                let handle = lock(&self.waiting).targets.remove(&call);
+                abort(handle);
+            }
+            Effect::Count(counter, by) => self.links.metrics.add(counter, by),
+            Effect::Log(change) => write_log(&change),
+            Effect::Stopped => self.stopped.notify_one(),
+        }
+    }
+
+    fn ask(self: &Arc<Self>, ask: AskKey, to: SocketAddr, question: PeerQuestion, timeout_us: u64) {
+        let node = Arc::clone(self);
+        let timeout = Duration::from_micros(timeout_us);
+        let task = tokio::spawn(async move {
+            let result = node.links.peers.ask(to, question, timeout).await;
+            lock(&node.waiting).asks.remove(&ask);
+            node.submit(Input::Answered { ask, result });
+        });
+        lock(&self.waiting).asks.insert(ask, task.abort_handle());
+    }
+
+    fn target(self: &Arc<Self>, call: CallKey, http: HttpRequest, timeout_us: u64) {
+        let node = Arc::clone(self);
+        let timeout = Duration::from_micros(timeout_us);
+        let task = tokio::spawn(async move {
+            let outcome = node.links.target.send(http, timeout).await;
+            lock(&node.waiting).targets.remove(&call);
+            let event = Event::TargetAnswered { call, outcome };
+            node.submit(Input::Event(calls::NAME, event));
+        });
+        lock(&self.waiting)
+            .targets
+            .insert(call, task.abort_handle());
+    }
+
+    fn table(self: &Arc<Self>, ask: AskKey, request: TableRequest, timeout_us: u64) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            let limit = Duration::from_micros(timeout_us);
+            let answer = tokio::time::timeout(limit, node.links.table.request(request)).await;
+            let result: Result<TableResponse, PlatformError> =
+                answer.unwrap_or(Err(PlatformError::Lost));
+            node.submit(Input::TableAnswered { ask, result });
+        });
+    }
+
+    fn object(self: &Arc<Self>, ask: AskKey, request: ObjectRequest, timeout_us: u64) {
+        let node = Arc::clone(self);
+        tokio::spawn(async move {
+            let limit = Duration::from_micros(timeout_us);
+            let answer = tokio::time::timeout(limit, node.links.objects.request(request)).await;
+            let result: Result<ObjectResponse, PlatformError> =
+                answer.unwrap_or(Err(PlatformError::Lost));
+            node.submit(Input::ObjectAnswered { ask, result });
+        });
+    }
+}
+
+impl Waiting {
+    fn new_key(&mut self) -> u64 {
+        self.next_key += 1;
+        self.next_key
+    }
+}
+
+fn abort(handle: Option<AbortHandle>) {
+    if let Some(handle) = handle {
+        handle.abort();
+    }
+}
+
+fn write_log(change: &StateChange) {
+    log::info!(target: "dragonflylug", subject = change.subject; "{}: {}", change.change, change.detail);
+}
--- /dev/null
+++ b/src/host/logs.rs
@@ -0,0 +1,28 @@
+//! Log output: lines for changes of state, as text or JSON.
+
+use logforth::append::Stderr;
+use logforth::filter::rustlog::RustLogFilterBuilder;
+use logforth::layout::{JsonLayout, TextLayout};
+
+use crate::settings::{LogFormat, LogLevel, LogSettings};
+
+/// Sends the log lines of this process to standard error; call it once.
+pub fn start(settings: &LogSettings) {
+    let filter = RustLogFilterBuilder::from_spec(name(settings.level)).build();
+    let appender = match settings.format {
+        LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
+        LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
+    };
+    logforth::starter_log::builder()
+        .dispatch(|dispatch| dispatch.filter(filter).append(appender))
+        .apply();
+}
+
+fn name(level: LogLevel) -> &'static str {
+    match level {
+        LogLevel::Error => "error",
+        LogLevel::Warn => "warn",
+        LogLevel::Info => "info",
+        LogLevel::Debug => "debug",
+    }
+}
--- /dev/null
+++ b/src/host/peer.rs
@@ -0,0 +1,296 @@
+//! The tarpc links between daemons.
+
+mod link;
+mod parts;
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use futures::StreamExt;
+use macro_rules_attribute::apply;
+use rand::Rng;
+use tarpc::server::{BaseChannel, Channel};
+use tarpc::tokio_serde::formats::Bincode;
+use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tokio::net::{TcpListener, TcpStream};
+
+use super::{Node, PeerLink, lock};
+use crate::derives::{message, value};
+use crate::ids::InboundKey;
+use crate::kernel::{Input, LinkError};
+use crate::peer::{PeerAnswer, PeerQuestion};
+use crate::sorted::SortedMap;
+use crate::table::Pending;
+use link::Link;
+use parts::PartStore;
+
+/// The questions that one connection may have under way.
+const IN_FLIGHT_MAX: usize = 10_000;
+
+/// The room of a frame beside the body that it carries.
+const FRAME_OVERHEAD_BYTES: usize = 64 * 1024;
+
+/// The wait before the listener accepts again after an error.
+const ACCEPT_RETRY: Duration = Duration::from_millis(50);
+
+/// The protocol between daemons.
+#[tarpc::service]
+pub trait Peer {
+    /// Answers a question, or nothing where the daemon ends first.
+    async fn ask(asked: Asked) -> Option<Answered>;
+
+    /// Takes a part of a question's body; false where there is no room.
+    async fn put(key: u64, offset: u64, part: Bytes) -> bool;
+
+    /// Returns the part of an answer's body at an offset.
+    async fn part(key: u64, offset: u64) -> Option<Bytes>;
+
+    /// Shows that the connection still carries messages.
+    async fn ping();
+}
+
+/// A question as it travels.
+#[apply(message!)]
+pub struct Asked {
+    /// The question, without its body where that was put in parts.
+    pub question: PeerQuestion,
+    /// The key of the body's parts.
+    pub body_key: Option<u64>,
+}
+
+/// An answer as it travels.
+#[apply(message!)]
+pub struct Answered {
+    /// The answer, without its body where that is fetched in parts.
+    pub answer: PeerAnswer,
+    /// The parts of the body.
+    pub parted: Option<Parted>,
+}
+
+/// A body that is fetched in parts.
+#[apply(value!)]
+pub struct Parted {
+    /// The key of the parts.
+    pub key: u64,
+    /// The length of the whole body.
+    pub body_bytes: u64,
+}
+
+/// What bounds the links to other daemons.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct PeerLimits {
+    /// The greatest body of a request or answer.
+    pub body_bytes_max: usize,
+    /// The time to make a connection.
+    pub connect_timeout: Duration,
+    /// The time without any answer, while one is due, after which the link is asked for a sign.
+    pub silence: Duration,
+    /// The time for that sign; a link without it is replaced.
+    pub ping_timeout: Duration,
+    /// The links open at once; the one unused for longest is closed for a new one.
+    pub links_max: usize,
+}
+
+impl Default for PeerLimits {
+    fn default() -> Self {
+        Self {
+            body_bytes_max: 16 * 1024 * 1024,
+            connect_timeout: Duration::from_millis(500),
+            silence: Duration::from_millis(250),
+            ping_timeout: Duration::from_millis(500),
+            links_max: 1_024,
+        }
+    }
+}
+
+/// The links to other daemons, one for each address.
+pub struct PeerLinks {
+    limits: PeerLimits,
+    links: Mutex<SortedMap<SocketAddr, Arc<Link>>>,
+}
+
+impl PeerLinks {
+    /// Makes an empty set of links.
+    pub fn new(limits: PeerLimits) -> Self {
+        Self {
+            limits,
+            links: Mutex::default(),
+        }
+    }
+
+    /// Returns the link to an address, making it where there is none.
+    fn link(&self, to: SocketAddr) -> Arc<Link> {
+        let mut links = lock(&self.links);
+        if let Some(link) = links.get(&to) {
+            link.touch();
+            return Arc::clone(link);
+        }
+        if links.len() >= self.limits.links_max {
+            close_least_used(&mut links);
+        }
+        let link = Arc::new(Link::new(to, self.limits));
+        links.insert(to, Arc::clone(&link));
+        link
+    }
+}
+
+fn close_least_used(links: &mut SortedMap<SocketAddr, Arc<Link>>) {
+    let mut least: Option<(Instant, SocketAddr)> = None;
+    for (address, link) in links.iter() {
+        if link.is_waiting() {
+            continue;
+        }
+        let used = link.last_used();
+        if least.is_none_or(|(oldest, _)| used < oldest) {
+            least = Some((used, *address));
+        }
+    }
+    if let Some((_, address)) = least {
+        links.remove(&address);
+    }
+}
+
+impl PeerLink for PeerLinks {
+    fn ask(
+        &self,
+        to: SocketAddr,
+        question: PeerQuestion,
+        timeout: Duration,
+    ) -> Pending<'_, Result<PeerAnswer, LinkError>> {
+        let link = self.link(to);
+        Box::pin(async move { link.ask(question, timeout).await })
+    }
+}
+
+/// The frames of a connection between daemons.
+fn frames(body_bytes_max: usize) -> LengthDelimitedCodec {
+    LengthDelimitedCodec::builder()
+        .max_frame_length(body_bytes_max + FRAME_OVERHEAD_BYTES)
+        .new_codec()
+}
+
+/// The room for bodies in parts, as a multiple of the greatest body.
+const PARTED_BODIES_MAX: usize = 8;
+
+/// The listener for other daemons.
+#[derive(Clone)]
+pub struct PeerHost {
+    node: Arc<Node>,
+    body_bytes_max: usize,
+    parts: Arc<Mutex<PartStore>>,
+}
+
+impl PeerHost {
+    /// Makes the host of a node's listener.
+    pub fn new(node: Arc<Node>, body_bytes_max: usize) -> Self {
+        Self {
+            node,
+            body_bytes_max,
+            parts: Arc::default(),
+        }
+    }
+
+    /// Accepts connections of other daemons until the task is ended.
+    pub async fn serve(self, listener: TcpListener) {
+        loop {
+            let Ok((stream, _)) = listener.accept().await else {
+                tokio::time::sleep(ACCEPT_RETRY).await;
+                continue;
+            };
+            tokio::spawn(self.clone().serve_connection(stream));
+        }
+    }
+
+    async fn serve_connection(self, stream: TcpStream) {
+        let _ = stream.set_nodelay(true);
+        let codec = frames(self.body_bytes_max);
+        let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let config = tarpc::server::Config {
+            pending_response_buffer: IN_FLIGHT_MAX,
+        };
+        let channel = BaseChannel::new(config, transport);
+        let requests = channel.execute(Peer::serve(self));
+        requests
+            .for_each(|response| async {
+                tokio::spawn(response);
+            })
+            .await;
+    }
+
+    fn parted_bytes_max(&self) -> usize {
+        self.body_bytes_max.saturating_mul(PARTED_BODIES_MAX)
+    }
+
+    /// Puts the body of a question together again.
+    fn join_question(&self, asked: Asked) -> Option<PeerQuestion> {
+        let mut question = asked.question;
+        let Some(key) = asked.body_key else {
+            return Some(question);
+        };
+        let body = lock(&self.parts).take(key)?;
+        *parts::question_body(&mut question)? = body;
+        Some(question)
+    }
+
+    /// Holds a large body back for the asker to fetch in parts.
+    fn split_answer(&self, mut answer: PeerAnswer) -> Option<Answered> {
+        let Some(body) = parts::detach(parts::answer_body(&mut answer)) else {
+            return Some(Answered {
+                answer,
+                parted: None,
+            });
+        };
+        let key = rand::rng().next_u64();
+        if !lock(&self.parts).hold(key, &body, self.parted_bytes_max()) {
+            return None;
+        }
+        let parted = Some(Parted {
+            key,
+            body_bytes: body.len() as u64,
+        });
+        Some(Answered { answer, parted })
+    }
+}
+
+impl Peer for PeerHost {
+    async fn ask(self, _: tarpc::context::Context, asked: Asked) -> Option<Answered> {
+        let question = self.join_question(asked)?;
+        let (inbound, receiver) = self.node.open_inbound();
+        let _open = OpenInbound {
+            node: Arc::clone(&self.node),
+            inbound,
+        };
+        self.node.submit(Input::Asked { inbound, question });
+        let answer = receiver.await.ok()?;
+        self.split_answer(answer)
+    }
+
+    async fn put(self, _: tarpc::context::Context, key: u64, offset: u64, part: Bytes) -> bool {
+        let bytes_max = self.parted_bytes_max();
+        let Ok(offset) = usize::try_from(offset) else {
+            return false;
+        };
+        lock(&self.parts).append(key, offset, &part, bytes_max)
+    }
+
+    async fn part(self, _: tarpc::context::Context, key: u64, offset: u64) -> Option<Bytes> {
+        lock(&self.parts).part(key, usize::try_from(offset).ok()?)
+    }
+
+    async fn ping(self, _: tarpc::context::Context) {}
+}
+
+/// A question whose asker waits; dropped when the asker gives it up.
+struct OpenInbound {
+    node: Arc<Node>,
+    inbound: InboundKey,
+}
+
+impl Drop for OpenInbound {
+    fn drop(&mut self) {
+        self.node.drop_inbound(self.inbound);
+    }
+}
--- /dev/null
+++ b/src/host/peer/link.rs
@@ -0,0 +1,266 @@
+//! One link to a daemon: its connection, and the watch that replaces it when it goes silent.
+
+use std::net::SocketAddr;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use bytes::{Bytes, BytesMut};
+use rand::Rng;
+use tarpc::client::RpcError;
+use tarpc::context::Context;
+use tarpc::tokio_serde::formats::Bincode;
+use tokio::net::TcpStream;
+use tokio::sync::{Mutex as AsyncMutex, watch};
+
+use super::parts::{self, PART_BYTES};
+use super::{Answered, Asked, IN_FLIGHT_MAX, PeerClient, PeerLimits, frames};
+use crate::host::lock;
+use crate::kernel::LinkError;
+use crate::peer::{PeerAnswer, PeerQuestion};
+
+/// A link to the daemon at one address.
+pub(super) struct Link {
+    to: SocketAddr,
+    limits: PeerLimits,
+    connection: AsyncMutex<Option<Connection>>,
+    used: Mutex<Instant>,
+    waiting: AtomicUsize,
+}
+
+/// One connection of a link.
+#[derive(Clone)]
+struct Connection {
+    client: PeerClient,
+    /// When something last arrived; `None` once the connection is given up.
+    heard: watch::Sender<Option<Instant>>,
+    /// Held by the one question that asks for a sign of life.
+    pinging: Arc<AsyncMutex<()>>,
+}
+
+impl Link {
+    pub(super) fn new(to: SocketAddr, limits: PeerLimits) -> Self {
+        Self {
+            to,
+            limits,
+            connection: AsyncMutex::new(None),
+            used: Mutex::new(Instant::now()),
+            waiting: AtomicUsize::new(0),
+        }
+    }
+
+    pub(super) fn touch(&self) {
+        *lock(&self.used) = Instant::now();
+    }
+
+    pub(super) fn last_used(&self) -> Instant {
+        *lock(&self.used)
+    }
+
+    pub(super) fn is_waiting(&self) -> bool {
+        self.waiting.load(Ordering::Relaxed) > 0
+    }
+
+    pub(super) async fn ask(
+        &self,
+        mut question: PeerQuestion,
+        timeout: Duration,
+    ) -> Result<PeerAnswer, LinkError> {
+        let _count = WaitCount::new(&self.waiting);
+        let deadline = Instant::now() + timeout;
+        let body = parts::detach(parts::question_body(&mut question));
+        let connect = tokio::time::timeout(timeout, self.connect()).await;
+        let connection = connect.unwrap_or(Err(LinkError::NotSent))?;
+        let body_key = match body {
+            Some(body) => Some(self.put_parts(&connection, &body, deadline).await?),
+            None => None,
+        };
+        let asked = connection
+            .client
+            .ask(until(deadline), Asked { question, body_key });
+        let answered = self
+            .exchange(&connection, asked)
+            .await?
+            .ok_or(LinkError::Lost)?;
+        self.join_answer(answered, deadline).await
+    }
+
+    /// Sends a body ahead of its question: whatever goes wrong, the question was not asked.
+    async fn put_parts(
+        &self,
+        connection: &Connection,
+        body: &Bytes,
+        deadline: Instant,
+    ) -> Result<u64, LinkError> {
+        let key = rand::rng().next_u64();
+        for (index, part) in body.chunks(PART_BYTES).enumerate() {
+            let offset = (index * PART_BYTES) as u64;
+            let part = body.slice_ref(part);
+            let put = connection.client.put(until(deadline), key, offset, part);
+            let is_taken = self.exchange(connection, put).await;
+            if is_taken != Ok(true) {
+                return Err(LinkError::NotSent);
+            }
+        }
+        Ok(key)
+    }
+
+    /// Fetches a body in parts; a part that is lost is asked again on a new connection.
+    async fn join_answer(
+        &self,
+        answered: Answered,
+        deadline: Instant,
+    ) -> Result<PeerAnswer, LinkError> {
+        let mut answer = answered.answer;
+        let Some(parted) = answered.parted else {
+            return Ok(answer);
+        };
+        let body_bytes = usize::try_from(parted.body_bytes).map_err(|_| LinkError::Lost)?;
+        let mut body = BytesMut::new();
+        while body.len() < body_bytes {
+            if Instant::now() >= deadline {
+                return Err(LinkError::TimedOut);
+            }
+            let connection = self.connect().await.map_err(|_| LinkError::Lost)?;
+            let offset = body.len() as u64;
+            let fetch = connection.client.part(until(deadline), parted.key, offset);
+            match self.exchange(&connection, fetch).await {
+                Ok(Some(part)) if !part.is_empty() => body.extend_from_slice(&part),
+                Ok(_) => return Err(LinkError::Lost),
+                Err(_) => {}
+            }
+        }
+        *parts::answer_body(&mut answer).ok_or(LinkError::Lost)? = body.freeze();
+        Ok(answer)
+    }
+
+    /// Waits for an answer while the connection gives signs of life.
+    async fn exchange<T>(
+        &self,
+        connection: &Connection,
+        asked: impl Future<Output = Result<T, RpcError>>,
+    ) -> Result<T, LinkError> {
+        let answer = tokio::select! {
+            answer = asked => answer,
+            () = self.watch(connection) => {
+                connection.give_up();
+                return Err(LinkError::Lost);
+            }
+        };
+        match answer {
+            Ok(answer) => {
+                connection.note_heard();
+                Ok(answer)
+            }
+            Err(RpcError::DeadlineExceeded) => Err(LinkError::TimedOut),
+            Err(_) => {
+                connection.give_up();
+                Err(LinkError::Lost)
+            }
+        }
+    }
+
+    /// Returns the present connection, or makes one.
+    async fn connect(&self) -> Result<Connection, LinkError> {
+        let mut connection = self.connection.lock().await;
+        if let Some(present) = connection.as_ref()
+            && present.heard.borrow().is_some()
+        {
+            return Ok(present.clone());
+        }
+        let connecting = TcpStream::connect(self.to);
+        let stream = match tokio::time::timeout(self.limits.connect_timeout, connecting).await {
+            Ok(Ok(stream)) => stream,
+            _ => return Err(LinkError::NotSent),
+        };
+        let made = self.open(stream);
+        *connection = Some(made.clone());
+        Ok(made)
+    }
+
+    fn open(&self, stream: TcpStream) -> Connection {
+        let _ = stream.set_nodelay(true);
+        let codec = frames(self.limits.body_bytes_max);
+        let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+        let transport = tarpc::serde_transport::new(framed, Bincode::default());
+        let mut config = tarpc::client::Config::default();
+        config.max_in_flight_requests = IN_FLIGHT_MAX;
+        config.pending_request_buffer = IN_FLIGHT_MAX;
+        let client = PeerClient::new(config, transport).spawn();
+        let (heard, _) = watch::channel(Some(Instant::now()));
+        Connection {
+            client,
+            heard,
+            pinging: Arc::default(),
+        }
+    }
+
+    /// Ends when the connection is given up or gives no sign of life while an answer is due.
+    async fn watch(&self, connection: &Connection) {
+        let asked = Instant::now();
+        loop {
+            let Some(heard) = *connection.heard.borrow() else {
+                return;
+            };
+            let quiet = heard.max(asked).elapsed();
+            if quiet < self.limits.silence {
+                let wait = self.limits.silence - quiet;
+                let mut changes = connection.heard.subscribe();
+                let _ = tokio::time::timeout(wait, changes.changed()).await;
+                continue;
+            }
+            let _pinging = connection.pinging.lock().await;
+            let Some(heard) = *connection.heard.borrow() else {
+                return;
+            };
+            if heard.elapsed() < self.limits.silence {
+                continue;
+            }
+            let deadline = Instant::now() + self.limits.ping_timeout;
+            if connection.client.ping(until(deadline)).await.is_err() {
+                return;
+            }
+            connection.note_heard();
+        }
+    }
+}
+
+/// Makes the context of a question that must be answered by a deadline.
+fn until(deadline: Instant) -> Context {
+    let mut context = Context::current();
+    context.deadline = deadline;
+    context
+}
+
+impl Connection {
+    fn give_up(&self) {
+        self.heard.send_replace(None);
+    }
+
+    fn note_heard(&self) {
+        self.heard.send_if_modified(|heard| {
+            if heard.is_some() {
+                *heard = Some(Instant::now());
+            }
+            false
+        });
+    }
+}
+
+/// Counts a question for as long as it waits.
+struct WaitCount<'a> {
+    waiting: &'a AtomicUsize,
+}
+
+impl<'a> WaitCount<'a> {
+    fn new(waiting: &'a AtomicUsize) -> Self {
+        waiting.fetch_add(1, Ordering::Relaxed);
+        Self { waiting }
+    }
+}
+
+impl Drop for WaitCount<'_> {
+    fn drop(&mut self) {
+        self.waiting.fetch_sub(1, Ordering::Relaxed);
+    }
+}
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -12,6 +12,7 @@
 pub use input::{Event, Input, LinkError, TargetOutcome};
 pub use registry::Service;
 
+use std::any::Any;
 use std::collections::VecDeque;
 use std::net::SocketAddr;
 
@@ -29,18 +30,29 @@
 /// A pause between two inputs after which timers and link states are suspect.
 pub const PAUSE_SUSPECT_US: u64 = 1_000_000;
 
+/// Marks the key of a question that this node asked itself.
+const LOCAL_INBOUND: u64 = 1 << 63;
+
 /// The services of one node with their timers.
 pub struct Kernel {
     registry: Registry,
     state: State,
 }
 
+/// A question that this node asked itself.
+#[derive(Clone, Copy)]
+struct LocalAsk {
+    ask: AskKey,
+    service: &'static str,
+}
+
 /// What the kernel keeps beside the services.
 struct State {
     now_us: u64,
     last_input_us: u64,
     next_key: u64,
     asks: SortedMap<AskKey, &'static str>,
+    local_asks: SortedMap<InboundKey, LocalAsk>,
     timers: Timers,
     notices: VecDeque<Notice>,
     sent: VecDeque<(&'static str, Event)>,
@@ -56,6 +68,7 @@
             last_input_us: 0,
             next_key: 0,
             asks: SortedMap::default(),
+            local_asks: SortedMap::default(),
             timers: Timers::default(),
             notices: VecDeque::new(),
             sent: VecDeque::new(),
@@ -211,6 +224,28 @@
         self.registry.find(name)
     }
 
+    /// Runs a method of another service that itself needs a context.
+    ///
+    /// Returns `None` where no service of that name and type is registered or where it runs now.
+    pub fn with<T: Service, R>(
+        &mut self,
+        name: &'static str,
+        run: impl FnOnce(&mut T, &mut Context<'_>) -> R,
+    ) -> Option<R> {
+        let mut service = self.registry.take(name)?;
+        let any: &mut dyn Any = service.as_mut();
+        let result = any.downcast_mut().map(|service| {
+            let mut context = Context {
+                owner: name,
+                registry: &mut *self.registry,
+                state: &mut *self.state,
+            };
+            run(service, &mut context)
+        });
+        self.registry.put_back(service);
+        result
+    }
+
     /// Asks the daemon at an address; the answer comes as [`Event::Answered`].
     pub fn ask(&mut self, to: SocketAddr, question: PeerQuestion, timeout_us: u64) -> AskKey {
         let ask = self.new_ask();
@@ -223,9 +258,37 @@
         ask
     }
 
-    /// Answers a question of a peer.
+    /// Asks a service of this node as a peer would; the answer comes as [`Event::Answered`].
+    pub fn ask_self(&mut self, question: PeerQuestion) -> AskKey {
+        let ask = self.new_ask();
+        let inbound = InboundKey(ask.0 | LOCAL_INBOUND);
+        let service = question.service();
+        self.state
+            .local_asks
+            .insert(inbound, LocalAsk { ask, service });
+        self.send(service, Event::Asked { inbound, question });
+        ask
+    }
+
+    /// Answers a question of a peer or of this node.
     pub fn answer(&mut self, inbound: InboundKey, answer: PeerAnswer) {
-        self.emit(Effect::Answer { inbound, answer });
+        if inbound.0 & LOCAL_INBOUND == 0 {
+            self.emit(Effect::Answer { inbound, answer });
+            return;
+        }
+        let Some(LocalAsk { ask, .. }) = self.state.local_asks.remove(&inbound) else {
+            return;
+        };
+        let Some(owner) = self.state.asks.remove(&ask) else {
+            return;
+        };
+        self.send(
+            owner,
+            Event::Answered {
+                ask,
+                result: Ok(answer),
+            },
+        );
     }
 
     /// Asks the platform's table; the answer comes as [`Event::TableAnswered`].
@@ -252,9 +315,15 @@
 
     /// Gives up a question; its answer, when it comes, is dropped.
     pub fn cancel_ask(&mut self, ask: AskKey) {
-        if self.state.asks.remove(&ask).is_some() {
-            self.emit(Effect::CancelAsk { ask });
+        if self.state.asks.remove(&ask).is_none() {
+            return;
+        }
+        let inbound = InboundKey(ask.0 | LOCAL_INBOUND);
+        if let Some(local) = self.state.local_asks.remove(&inbound) {
+            self.send(local.service, Event::AskDropped(inbound));
+            return;
         }
+        self.emit(Effect::CancelAsk { ask });
     }
 
     /// Sets a timer; it comes as [`Event::Timer`] with the tag.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -7,12 +7,15 @@
 
 pub mod admission;
 pub mod calls;
+pub mod cli;
 pub mod config;
+pub mod headers;
 pub mod host;
 pub mod ids;
 pub mod kernel;
 pub mod membership;
 pub mod metrics;
+pub mod node;
 pub mod operator;
 pub mod peer;
 pub mod request;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,3 @@
-//! The operators' command.
+//! The operators command.
 
 fn main() {}
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -78,6 +78,16 @@
         Self::labelled("doubts", "reason", reason.code())
     }
 
+    /// Counts a guard's refusal by its reason.
+    pub fn guard_refused(reason: RefusalReason) -> Self {
+        Self::labelled("guard_refusals", "reason", reason.code())
+    }
+
+    /// Counts an outcome that a guard does not know, by its reason.
+    pub fn guard_doubted(reason: DoubtReason) -> Self {
+        Self::labelled("guard_doubts", "reason", reason.code())
+    }
+
     /// Counts a further try by its reason.
     pub fn retried(reason: RetryReason) -> Self {
         Self::labelled("retries", "reason", reason.code())
--- /dev/null
+++ b/src/node.rs
@@ -0,0 +1,33 @@
+//! A whole node: all services of a daemon in one kernel, without sockets or clock.
+
+use crate::admission::Admission;
+use crate::calls::entry::Entry;
+use crate::calls::guard::Guard;
+use crate::config::Config;
+use crate::kernel::Kernel;
+use crate::membership::{Member, Membership};
+use crate::retry::RetryLedger;
+use crate::routing::Router;
+use crate::run_once::RunOnce;
+use crate::settings::Settings;
+
+/// Makes the kernel of a node; `own` describes it to others and `seed` feeds its random choices.
+pub fn make_kernel(settings: &Settings, own: Member, seed: u64) -> Kernel {
+    let id = own.id;
+    let zone = own.availability_zone.clone();
+    let run_once = RunOnce::new(settings.run_once.clone(), id).with_address(own.address);
+    let mut kernel = Kernel::new(seed);
+    kernel.register(Box::new(Entry::new(settings.entry.clone(), id)));
+    kernel.register(Box::new(Guard::new(settings.guard.clone())));
+    kernel.register(Box::new(Admission::new(settings.admission.clone())));
+    kernel.register(Box::new(Router::new(
+        settings.routing.clone(),
+        zone.clone(),
+        id,
+    )));
+    kernel.register(Box::new(RetryLedger::new(settings.retry.clone())));
+    kernel.register(Box::new(run_once));
+    kernel.register(Box::new(Config::new(settings.config.clone(), id, zone)));
+    kernel.register(Box::new(Membership::new(settings.membership.clone(), own)));
+    kernel
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -5,7 +5,7 @@
 
 use crate::derives::{message, value};
 use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, ServiceName};
-use crate::run_once::Ticket;
+use crate::run_once::{ClaimHolder, Ticket};
 
 /// An HTTP header that is passed on.
 #[apply(message!)]
@@ -97,6 +97,8 @@
     pub request: Option<RequestId>,
     /// The request that this one is a child of, where a target calls.
     pub parent: Option<RequestId>,
+    /// Whether the target beside the daemon sent it.
+    pub is_from_target: bool,
     /// The time left until the caller gives up.
     pub deadline_left_ms: Option<u32>,
     /// The retries that the caller has left over from its own earlier tries.
@@ -138,6 +140,7 @@
 
 /// What a guard tells an entry daemon beside each verdict.
 #[apply(value!)]
+#[derive(Default)]
 pub struct LoadReport {
     /// Requests of at least this rank are admitted now.
     pub threshold: Rank,
@@ -184,6 +187,10 @@
     pub verdict: crate::verdict::Verdict,
     /// The retries that were handed down and not spent.
     pub retries_unspent: u32,
+    /// Whether a call that the request made further down failed: another target would fail alike.
+    pub is_failed_below: bool,
+    /// The daemon that holds the claim of the request, where it is another one.
+    pub holder: Option<ClaimHolder>,
     /// The guard's present load.
     pub load: LoadReport,
     /// The guard's configuration version.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -18,7 +18,7 @@
 use crate::membership::{Member, MemberState};
 use crate::request::{LoadReport, Rank};
 use crate::sorted::SortedMap;
-use crate::verdict::{Refusal, RefusalReason};
+use crate::verdict::{Refusal, RefusalReason, Verdict};
 use pool::Pool;
 use target::{Target, TargetKey};
 
@@ -280,3 +280,15 @@
         }
     }
 }
+
+impl TryOutcome {
+    /// Returns the outcome that a verdict is counted as.
+    pub fn of(verdict: &Verdict) -> Self {
+        match verdict {
+            Verdict::Ran(answer) if answer.status >= 500 => Self::TargetError,
+            Verdict::Ran(_) => Self::Answered,
+            Verdict::NotRun(_) => Self::Refused,
+            Verdict::MayHaveRun(_) => Self::Lost,
+        }
+    }
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -10,6 +10,8 @@
 use quick_error::quick_error;
 
 use crate::admission::AdmissionSettings;
+use crate::calls::entry::EntrySettings;
+use crate::calls::guard::GuardSettings;
 use crate::config::ConfigSettings;
 use crate::derives::{settings, value};
 use crate::ids::AvailabilityZone;
@@ -43,10 +45,14 @@
     pub log: LogSettings,
     /// The greatest body of a request or an answer.
     pub body_bytes_max: usize,
-    /// The threads that serve calls.
-    pub call_threads_max: usize,
+    /// The time for a whole request head, and again for its body.
+    pub read_timeout_ms: u64,
     /// The connections of callers that are served at once.
     pub call_connections_max: usize,
+    /// How calls are taken, tried again and ended.
+    pub entry: EntrySettings,
+    /// How requests run on the target beside the daemon.
+    pub guard: GuardSettings,
     /// Which requests are sent to the target, wait or are refused.
     pub admission: AdmissionSettings,
     /// Which target takes a request.
@@ -134,8 +140,10 @@
             availability_zone: "zone-1".into(),
             log: LogSettings::default(),
             body_bytes_max: 8 * 1024 * 1024,
-            call_threads_max: 64,
+            read_timeout_ms: 10_000,
             call_connections_max: 1_000,
+            entry: EntrySettings::default(),
+            guard: GuardSettings::default(),
             admission: AdmissionSettings::default(),
             routing: RoutingSettings::default(),
             retry: RetrySettings::default(),
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -114,6 +114,8 @@
         ClaimHeld => "claim_held",
         /// The platform's table cannot say whether the request ran before.
         TableUnavailable => "table_unavailable",
+        /// Nothing ran now, but an earlier try of the same key may have run.
+        EarlierTry => "earlier_try",
         /// The caller cancelled the request while it was running.
         Cancelled => "cancelled",
     }
--- /dev/null
+++ b/tests/support/nodes.rs
@@ -0,0 +1,114 @@
+//! Whole nodes on the fake network.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+
+use dragonflylug::calls::entry;
+use dragonflylug::ids::{CallKey, Caller, MemberId, ServiceName};
+use dragonflylug::kernel::{CallReply, Event, Notice};
+use dragonflylug::membership::{Member, MemberState};
+use dragonflylug::node::make_kernel;
+use dragonflylug::request::{CallRequest, HttpRequest, RunKey};
+use dragonflylug::settings::Settings;
+use dragonflylug::target::Announcement;
+
+use crate::network::Network;
+
+/// The time in which a small group of nodes has found each other.
+pub const SETTLE_US: u64 = 5_000_000;
+
+/// A node that is to be added.
+pub struct NodePlan<'a> {
+    pub number: u16,
+    pub zone: &'a str,
+    pub service: Option<&'a str>,
+    pub slots: u32,
+}
+
+/// Returns the peer address of a node.
+pub fn address(number: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 10_000 + number))
+}
+
+/// Adds a whole node whose target, if it has one, announces itself at once.
+pub fn add_node(network: &mut Network, settings: &Settings, plan: &NodePlan<'_>) -> usize {
+    let own = Member {
+        id: MemberId(1_000 + u64::from(plan.number)),
+        address: address(plan.number),
+        availability_zone: plan.zone.into(),
+        service: None,
+        slots: 0,
+        state: MemberState::Alive,
+        incarnation: 0,
+        schema_version: settings.config.schema_version_max,
+    };
+    let kernel = make_kernel(settings, own, u64::from(plan.number));
+    let node = network.add(address(plan.number), kernel);
+    if let Some(service) = plan.service {
+        network.notice(
+            node,
+            Notice::TargetAnnounced(announcement(service, plan.slots)),
+        );
+    }
+    node
+}
+
+/// Makes what a target says of itself.
+pub fn announcement(service: &str, slots: u32) -> Announcement {
+    Announcement {
+        service: service.into(),
+        address: SocketAddr::from(([127, 0, 0, 1], 9)),
+        slots,
+        connections: slots * 8,
+        is_draining: false,
+    }
+}
+
+/// Makes a root request.
+pub fn request(service: &str, method: &str, path: &str) -> CallRequest {
+    CallRequest {
+        service: ServiceName::from(service),
+        http: HttpRequest {
+            method: method.to_string(),
+            path: path.to_string(),
+            headers: Vec::new(),
+            body: Default::default(),
+        },
+        caller: Caller::from("caller"),
+        request: None,
+        parent: None,
+        is_from_target: false,
+        deadline_left_ms: Some(2_000),
+        retries_left: None,
+        is_repeat: false,
+        run_key: RunKey::None,
+    }
+}
+
+/// Hands a call to a node.
+pub fn call(network: &mut Network, node: usize, key: u64, request: CallRequest) {
+    let event = Event::CallArrived {
+        call: CallKey(key),
+        request: Box::new(request),
+    };
+    network.event(node, entry::NAME, event);
+}
+
+/// Returns the reply to a call, if there is one yet.
+pub fn reply(network: &Network, node: usize, key: u64) -> Option<CallReply> {
+    for (_, call, reply) in &network.nodes[node].replies {
+        if *call == CallKey(key) {
+            return Some(reply.clone());
+        }
+    }
+    None
+}
+
+/// Calls and runs the network until the reply is there.
+pub fn exchange(network: &mut Network, node: usize, key: u64, request: CallRequest) -> CallReply {
+    call(network, node, key, request);
+    let until_us = network.now_us + 60_000_000;
+    network.run_while(until_us, |network| reply(network, node, key).is_none());
+    reply(network, node, key).expect("each call gets a reply")
+}
--- a/tests/support/runner.rs
+++ b/tests/support/runner.rs
@@ -209,6 +209,7 @@
         caller: "clerk".into(),
         request: Some(RequestId(1)),
         parent: None,
+        is_from_target: false,
         deadline_left_ms: None,
         retries_left: None,
         is_repeat: false,
