Keep the link library's lines out of the log

Cause: tarpc logs each question at info, several lines a call. Change: its level is warn unless the log itself is stricter.

--- a/src/host/logs.rs
+++ b/src/host/logs.rs
@@ -8,7 +8,7 @@
 
 /// Sends the log lines of this process to standard error; call it once.
 pub fn start(settings: &LogSettings) {
-    let filter = RustLogFilterBuilder::from_spec(name(settings.level)).build();
+    let filter = RustLogFilterBuilder::from_spec(spec(settings.level)).build();
     let appender = match settings.format {
         LogFormat::Text => Stderr::default().with_layout(TextLayout::default().no_color()),
         LogFormat::Json => Stderr::default().with_layout(JsonLayout::default()),
@@ -18,11 +18,12 @@
         .apply();
 }
 
-fn name(level: LogLevel) -> &'static str {
+/// The link library logs each question; its warnings are enough.
+fn spec(level: LogLevel) -> &'static str {
     match level {
         LogLevel::Error => "error",
         LogLevel::Warn => "warn",
-        LogLevel::Info => "info",
-        LogLevel::Debug => "debug",
+        LogLevel::Info => "info,tarpc=warn",
+        LogLevel::Debug => "debug,tarpc=warn",
     }
 }
