Stop without cutting a connection off; tell the addresses; add a byte relay

Cause: a planned stop ended the process while connections were open, the guard set one timer for each change of its queue, and nothing told a script which ports the system gave. Ruled out: closing connections when the listeners close (a request whose head is on its way would be lost). Change: connections end after their present request once a stop begins, and the process waits for them; one expiry timer at a time; the daemon prints its addresses as JSON; `peer_advertised_address` for a daemon behind another address; a relay in the stand-ins that falls silent or cuts.

--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -56,6 +56,7 @@
     inbound: SortedMap<InboundKey, CallKey>,
     running: SortedMap<RequestId, CallKey>,
     drain: Drain,
+    expiry_timer_us: Option<u64>,
 }
 
 /// A request at the guard.
@@ -95,6 +96,7 @@
             inbound: SortedMap::default(),
             running: SortedMap::default(),
             drain: Drain::default(),
+            expiry_timer_us: None,
         }
     }
 
@@ -337,6 +339,7 @@
     }
 
     fn expire(&mut self, context: &mut Context<'_>) {
+        self.expiry_timer_us = None;
         let now_us = context.now_us();
         let Some(admission) = context.find::<Admission>(admission::NAME) else {
             return;
@@ -345,6 +348,7 @@
         self.follow(context, released);
     }
 
+    /// Sets the timer of the queue's next expiry, unless one is set that comes sooner.
     fn set_expiry_timer(&mut self, context: &mut Context<'_>) {
         let now_us = context.now_us();
         let Some(admission) = context.find::<Admission>(admission::NAME) else {
@@ -353,7 +357,15 @@
         let Some(expiry_us) = admission.next_expiry_us() else {
             return;
         };
-        context.timer(expiry_us.saturating_sub(now_us), EXPIRY_TIMER);
+        let expiry_us = expiry_us.max(now_us);
+        if self
+            .expiry_timer_us
+            .is_some_and(|set_us| set_us <= expiry_us)
+        {
+            return;
+        }
+        self.expiry_timer_us = Some(expiry_us);
+        context.timer(expiry_us - now_us, EXPIRY_TIMER);
     }
 
     /// The entry daemon gave up: queued work is dropped, work that may run again is cancelled.
--- a/src/host.rs
+++ b/src/host.rs
@@ -14,12 +14,12 @@
 use std::sync::{Arc, Mutex, MutexGuard, OnceLock, PoisonError};
 use std::time::{Duration, Instant};
 
-use tokio::sync::{Notify, oneshot};
+use tokio::sync::{Notify, oneshot, watch};
 use tokio::task::AbortHandle;
 
 use crate::calls;
 use crate::ids::{AskKey, CallKey, InboundKey};
-use crate::kernel::{CallReply, Effect, Event, Input, Kernel, LinkError, StateChange};
+use crate::kernel::{CallReply, Effect, Event, Input, Kernel, LinkError, Notice, StateChange};
 use crate::metrics::MetricSink;
 use crate::operator::OperatorReply;
 use crate::peer::{PeerAnswer, PeerQuestion};
@@ -99,6 +99,7 @@
     waiting: Mutex<Waiting>,
     timers_changed: Notify,
     stopped: Notify,
+    stop_requested: watch::Sender<bool>,
     runtime: OnceLock<tokio::runtime::Handle>,
 }
 
@@ -126,6 +127,7 @@
             waiting: Mutex::default(),
             timers_changed: Notify::new(),
             stopped: Notify::new(),
+            stop_requested: watch::Sender::new(false),
             runtime: OnceLock::new(),
         })
     }
@@ -141,6 +143,9 @@
 
     /// Hands an input to the node and carries out what it says.
     pub fn submit(self: &Arc<Self>, input: Input) {
+        if matches!(input, Input::Notice(Notice::StopRequested)) {
+            self.stop_requested.send_replace(true);
+        }
         let (effects, is_timer_sooner) = {
             let mut kernel = lock(&self.kernel);
             let before_us = kernel.next_timer_us();
@@ -167,6 +172,12 @@
         read(&mut lock(&self.kernel))
     }
 
+    /// Waits until a planned stop begins.
+    pub async fn stop_requested(&self) {
+        let mut requested = self.stop_requested.subscribe();
+        let _ = requested.wait_for(|requested| *requested).await;
+    }
+
     /// Waits until a planned stop has ended all work.
     pub async fn stopped(&self) {
         self.stopped.notified().await;
--- a/src/host/caller.rs
+++ b/src/host/caller.rs
@@ -89,14 +89,28 @@
             let host = Arc::clone(&host);
             async move { Ok::<_, std::convert::Infallible>(host.answer(request).await) }
         });
-        let _ = hyper::server::conn::http1::Builder::new()
+        let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(self.limits.read_timeout)
-            .serve_connection(TokioIo::new(stream), service)
-            .await;
+            .serve_connection(TokioIo::new(stream), service);
+        let mut connection = std::pin::pin!(connection);
+        tokio::select! {
+            _ = connection.as_mut() => {}
+            () = self.node.stop_requested() => {
+                connection.as_mut().graceful_shutdown();
+                let _ = connection.await;
+            }
+        }
         drop(permit);
     }
 
+    /// Waits until no connection is served, for at most the time of a request's head and body.
+    pub async fn drain(&self) {
+        let all = u32::try_from(self.limits.connections_max).unwrap_or(u32::MAX);
+        let idle = self.connections.acquire_many(all);
+        let _ = tokio::time::timeout(2 * self.limits.read_timeout, idle).await;
+    }
+
     /// Answers one request on a connection too many, then closes it.
     async fn refuse_connection(self: Arc<Self>, stream: TcpStream) {
         self.metrics
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -4,8 +4,10 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use macro_rules_attribute::apply;
 use rand::Rng;
 use tokio::net::TcpListener;
+use tokio::task::AbortHandle;
 
 use super::caller::{CallerHost, CallerLimits};
 use super::metrics::Metrics;
@@ -14,6 +16,7 @@
 use super::platform::HttpPlatform;
 use super::target::TargetClient;
 use super::{Links, MonotonicClock, Node};
+use crate::derives::value;
 use crate::ids::MemberId;
 use crate::kernel::{Input, Kernel, Notice};
 use crate::membership::{Member, MemberState};
@@ -24,15 +27,19 @@
 /// Why a daemon could not start.
 pub type StartError = Box<dyn std::error::Error + Send + Sync>;
 
+/// The time for the last answers to leave after a planned stop.
+const FLUSH: Duration = Duration::from_millis(100);
+
 /// A running daemon.
 pub struct Daemon {
     node: Arc<Node>,
     addresses: Addresses,
-    tasks: Vec<tokio::task::AbortHandle>,
+    callers: Vec<Arc<CallerHost>>,
+    tasks: Vec<AbortHandle>,
 }
 
 /// The addresses that a daemon listens on.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+#[apply(value!)]
 pub struct Addresses {
     /// For callers.
     pub caller: SocketAddr,
@@ -58,7 +65,8 @@
         let metrics = Arc::new(Metrics::new()?);
         let target = Arc::new(TargetClient::default());
         let sink: Arc<dyn MetricSink> = metrics.clone();
-        let kernel = make_own_kernel(settings, peer_address);
+        let advertised = settings.peer_advertised_address.unwrap_or(peer_address);
+        let kernel = make_own_kernel(settings, advertised);
         let node = Node::new(kernel, make_links(settings, target.clone(), sink.clone()));
         let operator = OperatorHost::start(
             settings.operator_address,
@@ -77,14 +85,15 @@
         let targets = CallerHost::new(Arc::clone(&node), limits, sink, Some(target));
         let peers = PeerHost::new(Arc::clone(&node), settings.body_bytes_max).serve(peer);
         let tasks = vec![
-            tokio::spawn(callers.serve(caller)).abort_handle(),
-            tokio::spawn(targets.serve(announce)).abort_handle(),
+            tokio::spawn(Arc::clone(&callers).serve(caller)).abort_handle(),
+            tokio::spawn(Arc::clone(&targets).serve(announce)).abort_handle(),
             tokio::spawn(peers).abort_handle(),
         ];
         node.start();
         Ok(Self {
             node,
             addresses,
+            callers: vec![callers, targets],
             tasks,
         })
     }
@@ -108,9 +117,13 @@
     pub async fn stopped(&self) {
         self.node.stopped().await;
         self.end();
+        for callers in &self.callers {
+            callers.drain().await;
+        }
+        tokio::time::sleep(FLUSH).await;
     }
 
-    /// Ends the daemon at once.
+    /// Closes the listeners at once.
     pub fn end(&self) {
         for task in &self.tasks {
             task.abort();
@@ -118,7 +131,7 @@
     }
 }
 
-/// Runs a daemon until it is stopped.
+/// Runs a daemon until it is stopped; prints its addresses as one line of JSON first.
 ///
 /// # Errors
 ///
@@ -129,7 +142,9 @@
         .build()?;
     runtime.block_on(async {
         let daemon = Daemon::start(settings).await?;
-        log::info!(target: "dragonflylug", "started: {:?}", daemon.addresses());
+        let addresses = serde_json::to_string(&daemon.addresses())?;
+        println!("{addresses}");
+        log::info!(target: "dragonflylug", "started: {addresses}");
         serve_until_stopped(&daemon).await?;
         log::info!(target: "dragonflylug", "stopped");
         Ok(())
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -33,6 +33,8 @@
     pub operator_token: String,
     /// The address that other daemons use.
     pub peer_address: SocketAddr,
+    /// The address that other daemons are told, where it is not the one above.
+    pub peer_advertised_address: Option<SocketAddr>,
     /// The loopback address at which the target beside the daemon announces itself and calls.
     pub announce_address: SocketAddr,
     /// The base address of the platform.
@@ -134,6 +136,7 @@
             operator_address: SocketAddr::new(loopback, 8081),
             operator_token: String::new(),
             peer_address: SocketAddr::new(loopback, 8082),
+            peer_advertised_address: None,
             announce_address: SocketAddr::new(loopback, 8083),
             platform_url: "http://127.0.0.1:8090".into(),
             platform_timeout_ms: 1_000,
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -13,6 +13,7 @@
     ("caller_address", ADDRESS),
     ("operator_address", ADDRESS),
     ("peer_address", ADDRESS),
+    ("peer_advertised_address", ADDRESS),
     ("announce_address", ADDRESS),
     ("log.format", "\"text\" or \"json\""),
     ("log.level", "\"error\", \"warn\", \"info\" or \"debug\""),
@@ -76,11 +77,12 @@
 }
 
 fn check_kind(path: &str, given: &Value, default: &Value) -> Result<(), FieldError> {
-    if std::mem::discriminant(given) == std::mem::discriminant(default) {
+    let is_optional = default.is_null();
+    if is_optional || std::mem::discriminant(given) == std::mem::discriminant(default) {
         return Ok(());
     }
     let kind = match default {
-        Value::Null => "null",
+        Value::Null => "left out",
         Value::Bool(_) => "true or false",
         Value::Number(_) => return Err(out_of_bound(path, "number")),
         Value::String(_) => "a text",
--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -1,3 +1,4 @@
 //! Small stand-ins for the platform and the targets.
 
 pub mod platform;
+pub mod relay;
