Tables of faults for the configuration; tell the availability zone first

Cause: with the zones cut from each other one daemon was behind after 2 s, since a new version was told to any daemon at random: zones_lose_each_other: versions [2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 2, 1] Change: a new version goes to the next daemon of the own zone in the order of the hash, and to some at random, half of them of the own zone; comparisons likewise. Ruled out: telling the next of the whole system: it lies behind the cut as often as not.

--- a/src/config/roster.rs
+++ b/src/config/roster.rs
@@ -11,6 +11,12 @@
 /// The seed of the rendezvous hash.
 const HASH_SEED: u64 = 0x636f_6e66_6967;
 
+/// The share of random daemons that are of the own availability zone.
+const NEAR_SHARE: f64 = 0.5;
+
+/// The random picks for each daemon that is wanted, since some come up twice.
+const PICKS: usize = 4;
+
 /// The other daemons, and the order of the rendezvous hash.
 pub(super) struct Roster {
     own_id: MemberId,
@@ -18,11 +24,14 @@
     /// The greatest schema that each daemon reads.
     schemas: SortedMap<MemberId, u16>,
     /// The daemons that are alive.
-    alive: SortedMap<(u64, MemberId), SocketAddr>,
+    alive: Ring,
     /// The daemons of the own availability zone that are alive.
-    zone: SortedMap<(u64, MemberId), ()>,
+    zone: Ring,
 }
 
+/// Addresses in the order of the rendezvous hash.
+type Ring = SortedMap<(u64, MemberId), SocketAddr>;
+
 /// Returns the place of a daemon in the order of the rendezvous hash.
 fn place(id: MemberId) -> (u64, MemberId) {
     let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED);
@@ -58,7 +67,7 @@
         }
         self.alive.insert(place, member.address);
         if member.availability_zone == self.own_zone {
-            self.zone.insert(place, ());
+            self.zone.insert(place, member.address);
         }
     }
 
@@ -74,7 +83,7 @@
     pub(super) fn is_poller(&self, pollers: usize) -> bool {
         let own = place(self.own_id);
         match self.zone.entry_at(pollers.saturating_sub(1)) {
-            Some((other, ())) => own < *other,
+            Some((other, _)) => own < *other,
             None => true,
         }
     }
@@ -88,31 +97,23 @@
         least
     }
 
-    /// Returns a daemon at random.
+    /// Returns a daemon at random, half of the time one of the own availability zone.
     pub(super) fn any(&self, rng: &mut impl RngExt) -> Option<SocketAddr> {
-        if self.alive.is_empty() {
-            return None;
+        let is_near = rng.random_bool(NEAR_SHARE);
+        match is_near && !self.zone.is_empty() {
+            true => pick(&self.zone, rng),
+            false => pick(&self.alive, rng),
         }
-        let at = rng.random_range(0..self.alive.len());
-        self.alive.entry_at(at).map(|(_, address)| *address)
     }
 
-    /// Returns the next daemon in the order of the hash, so that each daemon is next to one.
-    fn next(&self) -> Option<SocketAddr> {
-        let own = place(self.own_id);
-        for (other, address) in self.alive.iter() {
-            if *other > own {
-                return Some(*address);
-            }
-        }
-        self.alive.entry_at(0).map(|(_, address)| *address)
-    }
-
-    /// Returns the daemons that are told of a new version: the next one and some at random.
+    /// Returns the daemons that are told of a new version: the next one in the availability zone,
+    /// so that each daemon is next to one, and some at random.
     pub(super) fn told(&self, count: usize, rng: &mut impl RngExt) -> Vec<SocketAddr> {
-        let mut told: Vec<SocketAddr> = self.next().into_iter().collect();
-        let wanted = count.min(self.alive.len());
-        while told.len() < wanted {
+        let mut told: Vec<SocketAddr> = next(&self.zone, place(self.own_id)).into_iter().collect();
+        for _ in 0..count * PICKS {
+            if told.len() >= count {
+                break;
+            }
             let Some(address) = self.any(rng) else {
                 break;
             };
@@ -123,3 +124,20 @@
         told
     }
 }
+
+fn pick(ring: &Ring, rng: &mut impl RngExt) -> Option<SocketAddr> {
+    if ring.is_empty() {
+        return None;
+    }
+    let at = rng.random_range(0..ring.len());
+    ring.entry_at(at).map(|(_, address)| *address)
+}
+
+fn next(ring: &Ring, own: (u64, MemberId)) -> Option<SocketAddr> {
+    for (other, address) in ring.iter() {
+        if *other > own {
+            return Some(*address);
+        }
+    }
+    ring.entry_at(0).map(|(_, address)| *address)
+}
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -9,24 +9,29 @@
 mod network;
 
 use config::{Cluster, record, submission};
-use dragonflylug::config::SubmitOutcome;
+use dragonflylug::config::{Change, Config, ConfigSettings, Message, NAME, SubmitOutcome};
+use dragonflylug::ids::InboundKey;
+use dragonflylug::kernel::{Event, StateChange};
+use dragonflylug::peer::PeerQuestion;
+use network::PlatformFault;
+
+const SECOND_US: u64 = 1_000_000;
 
 /// The bound of today's size.
-const IN_FORCE_US: u64 = 2_000_000;
+const IN_FORCE_US: u64 = 2 * SECOND_US;
+
+/// The daemons of a case, in four availability zones.
+const DAEMONS: usize = 12;
 
 /// One change among some daemons.
 fn in_force_everywhere(daemons: usize) {
     let mut cluster = Cluster::new(daemons);
-    cluster.run(1_000_000);
-    cluster.submit(0, submission("c1", 0, vec![record("payouts", 3)]));
-    let since_us = cluster.network.now_us;
-    let all = cluster.run_until_all_have(1, since_us + IN_FORCE_US);
+    cluster.run(SECOND_US);
+    cluster.submit_one(0, "c1", 0, 3);
+    let all = cluster.run_until_all_have(1, IN_FORCE_US);
     assert!(all, "versions {:?}", cluster.versions());
     cluster.run(100_000);
-    assert_eq!(
-        cluster.outcomes(0),
-        [SubmitOutcome::Accepted { version: 1 }]
-    );
+    assert_eq!(cluster.outcomes(0), [accepted(1)]);
     for node in 0..daemons {
         assert_eq!(cluster.retries(node, "payouts"), Some(3));
     }
@@ -39,22 +44,391 @@
     a_change_is_in_force_at_a_hundred_daemons => 100,
 }
 
+fn accepted(version: u64) -> SubmitOutcome {
+    SubmitOutcome::Accepted { version }
+}
+
+fn conflict(version: u64) -> SubmitOutcome {
+    SubmitOutcome::Conflict { version }
+}
+
+/// A fault during a change: the version that all must reach within the bound afterwards.
+fn in_force_despite(fault: fn(&mut Cluster) -> u64) {
+    let mut cluster = Cluster::new(DAEMONS);
+    cluster.run(SECOND_US);
+    cluster.submit_one(0, "base", 0, 1);
+    cluster.run(IN_FORCE_US);
+    assert_eq!(cluster.versions(), [1; DAEMONS]);
+    let version = fault(&mut cluster);
+    let all = cluster.run_until_all_have(version, IN_FORCE_US);
+    assert!(all, "versions {:?}", cluster.versions());
+    cluster.run(5 * SECOND_US);
+    for (node, at) in cluster.versions().into_iter().enumerate() {
+        assert!(!cluster.network.nodes[node].is_up || at == version);
+    }
+}
+
+cases! { in_force_despite:
+    operators_race_at_every_daemon => |cluster| {
+        for node in 0..DAEMONS {
+            cluster.submit_one(node, &format!("c{node}"), 1, 2);
+        }
+        cluster.run(IN_FORCE_US);
+        let mut accepts = 0;
+        for node in 1..DAEMONS {
+            let [outcome] = &cluster.outcomes(node)[..] else { panic!("no single outcome") };
+            accepts += usize::from(*outcome == accepted(2));
+            assert!([accepted(2), conflict(2)].contains(outcome), "{outcome:?}");
+        }
+        accepts += usize::from(cluster.outcomes(0)[1] == accepted(2));
+        assert_eq!(accepts, 1);
+        2
+    },
+    the_answer_to_a_submission_is_lost => |cluster| {
+        cluster.network.platform_fault = PlatformFault::AnswerLost;
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(1_050_000);
+        cluster.network.platform_fault = PlatformFault::None;
+        cluster.run(4 * SECOND_US);
+        assert_eq!(cluster.outcomes(3), [accepted(2)]);
+        2
+    },
+    the_answer_to_the_write_alone_is_lost => |cluster| {
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.network.platform_fault = PlatformFault::AnswerLost;
+        cluster.run(SECOND_US);
+        assert_eq!(cluster.outcomes(3), []);
+        cluster.network.platform_fault = PlatformFault::None;
+        cluster.run(SECOND_US);
+        assert_eq!(cluster.outcomes(3), [accepted(2)]);
+        2
+    },
+    all_answers_of_the_table_are_lost_for_long => |cluster| {
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.network.platform_fault = PlatformFault::AnswerLost;
+        cluster.run(30 * SECOND_US);
+        assert_eq!(cluster.outcomes(3), [SubmitOutcome::Unknown]);
+        cluster.network.platform_fault = PlatformFault::None;
+        cluster.submit_one(7, "c2", 1, 2);
+        cluster.run(SECOND_US);
+        assert_eq!(cluster.outcomes(7), [accepted(2)]);
+        2
+    },
+    the_same_change_is_submitted_again_after_others => |cluster| {
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(SECOND_US);
+        cluster.submit_one(4, "c3", 2, 3);
+        cluster.run(SECOND_US);
+        cluster.submit_one(5, "c2", 1, 2);
+        cluster.run(SECOND_US);
+        assert_eq!(cluster.outcomes(5), [accepted(2)]);
+        assert_eq!(cluster.retries(5, "payouts"), Some(3));
+        3
+    },
+    the_platform_goes_down_once_one_daemon_has_the_change => |cluster| {
+        cluster.network.passes = Box::new(|from, to| from != 3 && to != 3);
+        for node in (0..DAEMONS).filter(|node| *node != 3) {
+            cluster.network.pause(node, cluster.network.now_us + SECOND_US);
+        }
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(100_000);
+        assert_eq!(cluster.outcomes(3), [accepted(2)]);
+        cluster.network.platform_fault = PlatformFault::Down;
+        cluster.run(5 * SECOND_US);
+        assert_eq!(cluster.version(4), 1);
+        cluster.network.passes = Box::new(|_, _| true);
+        2
+    },
+    the_platform_stays_slow => |cluster| {
+        cluster.network.platform_fault = PlatformFault::Slow(900_000);
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(1_850_000);
+        assert_eq!(cluster.outcomes(3), [accepted(2)]);
+        2
+    },
+    the_daemon_dies_before_it_hears_that_its_write_took_effect => |cluster| {
+        cluster.submit_one(3, "c2", 1, 2);
+        let writes = cluster.network.table_writes;
+        let done = cluster.network.run_while(u64::MAX, |net| net.table_writes == writes);
+        assert!(done);
+        cluster.network.kill(3);
+        2
+    },
+    zones_lose_each_other => |cluster| {
+        cluster.network.passes = Box::new(|from, to| from % 4 == to % 4);
+        cluster.submit_one(3, "c2", 1, 2);
+        2
+    },
+    all_but_one_daemon_are_replaced_while_the_platform_is_down => |cluster| {
+        cluster.network.platform_fault = PlatformFault::Down;
+        for node in 1..DAEMONS {
+            cluster.kill(node);
+            cluster.add();
+        }
+        1
+    },
+    a_daemon_starts_during_the_outage_after_a_change => |cluster| {
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(IN_FORCE_US);
+        cluster.network.platform_fault = PlatformFault::Down;
+        let new = cluster.add();
+        assert!(cluster.config(new).is_behind());
+        2
+    },
+    a_daemon_is_paused_over_a_change => |cluster| {
+        cluster.network.pause(5, cluster.network.now_us + 10 * SECOND_US);
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(9 * SECOND_US);
+        assert_eq!(cluster.version(5), 1);
+        cluster.run(SECOND_US);
+        2
+    },
+    a_late_peer_offers_an_older_version => |cluster| {
+        let old = cluster.config(5).view();
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(IN_FORCE_US);
+        offer(cluster, 6, Message::Version(old.version));
+        offer(cluster, 6, Message::Push(vec![change(1, 99)]));
+        assert_eq!(cluster.retries(6, "payouts"), Some(2));
+        2
+    },
+    reads_are_stale_for_a_while => |cluster| {
+        let stale = cluster.network.rows.clone();
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(IN_FORCE_US);
+        let fresh = std::mem::replace(&mut cluster.network.rows, stale);
+        cluster.add();
+        cluster.run(3 * SECOND_US);
+        cluster.network.rows = fresh;
+        2
+    },
+}
+
+/// A change that no operator made.
+fn change(version: u64, digest: u64) -> Change {
+    Change {
+        version,
+        digest,
+        changed: Vec::new(),
+        removed: vec!["payouts".into()],
+    }
+}
+
+fn offer(cluster: &mut Cluster, node: usize, message: Message) {
+    let event = Event::Asked {
+        inbound: InboundKey(0),
+        question: PeerQuestion::Config(message),
+    };
+    cluster.network.event(node, NAME, event);
+}
+
+#[test]
+fn a_change_with_the_name_of_another_is_refused() {
+    let mut cluster = Cluster::new(2);
+    cluster.submit_one(0, "c1", 0, 1);
+    cluster.run(SECOND_US);
+    cluster.submit_one(1, "c1", 1, 2);
+    cluster.run(SECOND_US);
+    let [SubmitOutcome::Invalid { field, problem }] = &cluster.outcomes(1)[..] else {
+        panic!("{:?}", cluster.outcomes(1));
+    };
+    assert_eq!(field, "change_id");
+    assert_eq!(problem, "names another change, accepted under version 1");
+    assert_eq!(cluster.versions(), [1, 1]);
+}
+
+#[test]
+fn a_submission_while_the_platform_is_down_is_not_accepted() {
+    let mut cluster = Cluster::new(2);
+    cluster.run(SECOND_US);
+    cluster.network.platform_fault = PlatformFault::Down;
+    cluster.submit_one(0, "c1", 0, 1);
+    cluster.run(10 * SECOND_US);
+    assert_eq!(cluster.outcomes(0), [SubmitOutcome::Unavailable]);
+    cluster.network.platform_fault = PlatformFault::None;
+    cluster.run(10 * SECOND_US);
+    assert_eq!(cluster.versions(), [0, 0]);
+}
+
 #[test]
-fn of_two_operators_that_race_one_gets_a_conflict() {
-    let mut cluster = Cluster::new(4);
-    cluster.run(1_000_000);
-    cluster.submit(0, submission("c1", 0, vec![record("payouts", 3)]));
-    cluster.submit(1, submission("c2", 0, vec![record("payouts", 5)]));
+fn a_version_that_nobody_has_holds_up_calls_no_longer_than_the_setting() {
+    let mut cluster = Cluster::new(3);
+    cluster.submit_one(0, "c1", 0, 3);
     cluster.run(IN_FORCE_US);
-    assert_eq!(
-        cluster.outcomes(0),
-        [SubmitOutcome::Accepted { version: 1 }]
-    );
-    assert_eq!(
-        cluster.outcomes(1),
-        [SubmitOutcome::Conflict { version: 1 }]
-    );
-    for node in 0..4 {
-        assert_eq!(cluster.retries(node, "payouts"), Some(3));
+    offer(&mut cluster, 1, Message::Version(9));
+    cluster.run(900_000);
+    assert!(cluster.config(1).is_behind());
+    cluster.run(100_000);
+    assert!(!cluster.config(1).is_behind());
+    assert_eq!(cluster.retries(1, "payouts"), Some(3));
+}
+
+#[test]
+fn a_daemon_that_wakes_holds_itself_behind_until_it_has_asked() {
+    let mut cluster = Cluster::new(3);
+    cluster.submit_one(0, "c1", 0, 3);
+    cluster.run(IN_FORCE_US);
+    let until_us = cluster.network.now_us + 10 * SECOND_US;
+    cluster.network.pause(1, until_us);
+    cluster.submit_one(0, "c2", 1, 4);
+    cluster.run(10 * SECOND_US);
+    assert!(cluster.config(1).is_behind());
+    assert_eq!(cluster.version(1), 1);
+    cluster.run(10_000);
+    assert!(!cluster.config(1).is_behind());
+    assert_eq!(cluster.version(1), 2);
+}
+
+/// Settings under which only few changes are kept.
+fn forgetful() -> ConfigSettings {
+    ConfigSettings {
+        changes_kept: 16,
+        recent_bytes_max: 1_024,
+        message_bytes_max: 1_024,
+        ..ConfigSettings::default()
     }
 }
+
+/// Many changes of many records, some removed again, which a daemon missed.
+fn catches_up(prepare: fn(&mut Cluster)) {
+    let mut cluster = Cluster::with_settings(4, forgetful());
+    cluster.run(SECOND_US);
+    let mut version = 0;
+    for at in 0..60 {
+        let id = format!("c{at}");
+        let service = format!("service-{:02}", at % 40);
+        let mut submission = submission(&id, version, vec![record(&service, at % 10)]);
+        if at % 7 == 6 {
+            submission.removed = vec![format!("service-{:02}", (at - 3) % 40).as_str().into()];
+        }
+        cluster.submit(0, submission);
+        cluster.run(100_000);
+        version += 1;
+    }
+    assert_eq!(cluster.outcomes(0).len(), 60);
+    prepare(&mut cluster);
+    let late = cluster.add();
+    cluster.submit(0, submission("last", version, vec![record("payouts", 1)]));
+    let all = cluster.run_until_all_have(version, IN_FORCE_US);
+    assert!(all, "versions {:?}", cluster.versions());
+    assert!(cluster.version(late) >= version);
+    cluster.run(SECOND_US);
+    assert_eq!(cluster.view(late), cluster.view(1));
+}
+
+cases! { catches_up:
+    a_daemon_far_behind_takes_all_records_from_the_table => |cluster| {
+        cluster.network.passes = Box::new(|from, to| from != 4 && to != 4);
+    },
+    a_daemon_far_behind_takes_all_records_from_a_peer => |cluster| {
+        cluster.network.platform_fault = PlatformFault::Down;
+    },
+}
+
+#[test]
+fn the_table_keeps_no_more_changes_than_the_setting() {
+    let mut cluster = Cluster::with_settings(1, forgetful());
+    for at in 0..40 {
+        cluster.submit_one(0, &format!("c{at}"), at, 1);
+        cluster.run(100_000);
+    }
+    assert_eq!(cluster.version(0), 40);
+    let keys: Vec<&String> = cluster.network.rows.keys().collect();
+    let count = |prefix| keys.iter().filter(|key| key.starts_with(prefix)).count();
+    assert_eq!(count("config/change/"), 16);
+    assert_eq!(count("config/change-id/"), 16);
+    assert_eq!(keys.len(), 16 + 16 + 2);
+}
+
+#[test]
+fn a_change_that_does_not_lead_to_its_digest_is_refused_and_fetched_whole() {
+    let mut cluster = Cluster::new(3);
+    cluster.submit_one(0, "c1", 0, 3);
+    cluster.run(IN_FORCE_US);
+    offer(&mut cluster, 1, Message::Push(vec![change(2, 99)]));
+    assert_eq!(cluster.version(1), 1);
+    assert_eq!(cluster.counted(1, "config_digest_mismatches"), 1);
+    cluster.submit_one(0, "c2", 1, 4);
+    assert!(cluster.run_until_all_have(2, IN_FORCE_US));
+    assert_eq!(cluster.retries(1, "payouts"), Some(4));
+}
+
+/// Settings of a daemon that reads only the older schema.
+fn older() -> ConfigSettings {
+    ConfigSettings {
+        schema_version_max: 1,
+        ..ConfigSettings::default()
+    }
+}
+
+#[test]
+fn the_older_form_is_written_while_a_daemon_reads_only_that() {
+    let mut cluster = Cluster::new(3);
+    let old = cluster.add_with(older());
+    cluster.run(SECOND_US);
+    let mut hedged = record("payouts", 3);
+    hedged.kinds[0].policy.hedge_after_ms = 50;
+    cluster.submit(0, submission("c1", 0, vec![hedged.clone()]));
+    assert!(cluster.run_until_all_have(1, IN_FORCE_US));
+    assert_eq!(cluster.retries(old, "payouts"), Some(3));
+    assert_eq!(cluster.view(old).records[0].schema_version, 1);
+    assert_eq!(cluster.view(1).records[0], hedged);
+    assert_eq!(cluster.config(old).unreadable(), []);
+}
+
+#[test]
+fn a_daemon_that_cannot_read_a_record_keeps_what_it_had_and_says_so() {
+    let mut cluster = Cluster::new(3);
+    let old = cluster.add_with(older());
+    cluster.run(SECOND_US);
+    let both = vec![record("payouts", 3), record("balances", 3)];
+    cluster.submit(0, submission("c1", 0, both));
+    assert!(cluster.run_until_all_have(1, IN_FORCE_US));
+    // The others take it for gone, so that its schema is no longer written.
+    let id = cluster.members[old].id;
+    for node in 0..3 {
+        let gone = dragonflylug::kernel::Notice::MemberGone(id);
+        cluster.network.notice(node, gone);
+    }
+    cluster.submit_one(0, "c2", 1, 5);
+    cluster.run(IN_FORCE_US);
+    assert_eq!(cluster.versions(), [2; 4]);
+    assert_eq!(cluster.retries(old, "payouts"), Some(3));
+    assert_eq!(cluster.retries(1, "payouts"), Some(5));
+    let unreadable = cluster.config(old).unreadable();
+    assert_eq!(unreadable.len(), 1);
+    assert_eq!(unreadable[0].service.as_str(), "payouts");
+    assert_eq!(unreadable[0].changed_at, 2);
+    assert_eq!(cluster.counted(old, "config_unreadable_records"), 1);
+    let detail = "payouts: schema_version: no form up to 1, which this daemon reads";
+    let line = StateChange::new("config", "record cannot be read", detail);
+    assert!(cluster.network.nodes[old].log.contains(&line));
+    cluster.submit_one(1, "c3", 2, 6);
+    cluster.run(IN_FORCE_US);
+    assert_eq!(cluster.config(old).unreadable().len(), 1);
+    assert_eq!(cluster.version(old), 3);
+}
+
+#[test]
+fn a_daemon_of_the_older_schema_refuses_a_newer_record() {
+    let mut cluster = Cluster::new(1);
+    let old = cluster.add_with(older());
+    cluster.submit_one(old, "c1", 0, 3);
+    let [SubmitOutcome::Invalid { field, .. }] = &cluster.outcomes(old)[..] else {
+        panic!("{:?}", cluster.outcomes(old));
+    };
+    assert_eq!(field, "records[0].schema_version");
+}
+
+#[test]
+fn only_the_lowest_daemons_of_each_zone_poll() {
+    let mut cluster = Cluster::new(40);
+    cluster.run(SECOND_US);
+    let before = cluster.network.table_reads;
+    cluster.run(10 * SECOND_US);
+    let polls = cluster.network.table_reads - before;
+    let pollers = 4 * 2;
+    assert_eq!(polls, pollers * 10 * 2);
+    let config: &mut Config = cluster.config(0);
+    assert_eq!(config.version(), 0);
+}
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -12,6 +12,7 @@
 use dragonflylug::kernel::{Event, Kernel, Notice};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::operator::{OperatorReply, OperatorRequest};
+use dragonflylug::sorted::SortedMap;
 
 use crate::network::Network;
 
@@ -25,10 +26,48 @@
     pub network: Network,
     pub members: Vec<Member>,
     pub settings: ConfigSettings,
-    seed: u64,
+    pub watch: Watch,
     next_call: u64,
 }
 
+/// What each daemon had in force so far.
+#[derive(Default)]
+pub struct Watch {
+    /// Daemons that read only an older schema: their contents are others.
+    pub older: Vec<usize>,
+    versions: Vec<u64>,
+    contents: SortedMap<u64, ConfigView>,
+}
+
+impl Watch {
+    /// Fails where a version went back, or where a version has two contents.
+    fn look(&mut self, network: &mut Network) {
+        self.versions.resize(network.nodes.len(), 0);
+        for (at, node) in network.nodes.iter_mut().enumerate() {
+            let config = node.kernel.find::<Config>(NAME).unwrap();
+            let version = config.version();
+            let before = self.versions[at];
+            if version == before {
+                continue;
+            }
+            assert!(
+                version > before,
+                "daemon {at} went from {before} to {version}"
+            );
+            self.versions[at] = version;
+            let view = config.view();
+            assert_eq!(view.version, version);
+            if self.older.contains(&at) {
+                continue;
+            }
+            let content = self
+                .contents
+                .get_or_insert_with(version, || (*view).clone());
+            assert_eq!(content, &*view, "daemon {at} at version {version}");
+        }
+    }
+}
+
 impl Cluster {
     /// Makes daemons that know each other.
     pub fn new(count: usize) -> Self {
@@ -40,7 +79,7 @@
             network: Network::new(LINK_US),
             members: Vec::new(),
             settings,
-            seed: 7,
+            watch: Watch::default(),
             next_call: 0,
         };
         for _ in 0..count {
@@ -57,6 +96,9 @@
 
     pub fn add_with(&mut self, settings: ConfigSettings) -> usize {
         let at = self.members.len();
+        if settings.schema_version_max < self.settings.schema_version_max {
+            self.watch.older.push(at);
+        }
         let member = Member {
             id: MemberId(1_000 + at as u64),
             address: SocketAddr::from(([10, 0, (at / 250) as u8, (at % 250) as u8], 1)),
@@ -67,7 +109,7 @@
             incarnation: 0,
             schema_version: settings.schema_version_max,
         };
-        let mut kernel = Kernel::new(self.seed + at as u64);
+        let mut kernel = Kernel::new(7 + at as u64);
         let zone = member.availability_zone.clone();
         kernel.register(Box::new(Config::new(settings, member.id, zone)));
         self.network.add(member.address, kernel);
@@ -86,25 +128,59 @@
     /// Runs for a time.
     pub fn run(&mut self, for_us: u64) {
         let until_us = self.network.now_us + for_us;
+        let watch = &mut self.watch;
+        self.network.run_while(until_us, |network| {
+            watch.look(network);
+            true
+        });
         self.network.run_until(until_us);
+        self.watch.look(&mut self.network);
     }
 
     /// Runs until each daemon that is up has a version; returns whether that was in time.
-    pub fn run_until_all_have(&mut self, version: u64, until_us: u64) -> bool {
+    pub fn run_until_all_have(&mut self, version: u64, within_us: u64) -> bool {
+        let until_us = self.network.now_us + within_us;
+        let watch = &mut self.watch;
         self.network.run_while(until_us, |network| {
-            for node in &mut network.nodes {
-                if !node.is_up {
-                    continue;
-                }
-                let config = node.kernel.find::<Config>(NAME).unwrap();
-                if config.version() < version {
-                    return true;
-                }
+            watch.look(network);
+            let mut goes_on = false;
+            for (at, node) in network.nodes.iter().enumerate() {
+                goes_on |= node.is_up && watch.versions[at] < version;
             }
-            false
+            goes_on
         })
     }
 
+    /// Says that a daemon is gone to all others, as the membership service would.
+    pub fn kill(&mut self, node: usize) {
+        self.network.kill(node);
+        let id = self.members[node].id;
+        for other in 0..self.members.len() {
+            if self.network.nodes[other].is_up {
+                self.network.notice(other, Notice::MemberGone(id));
+            }
+        }
+    }
+
+    /// Submits a record at a daemon and returns what became of it.
+    pub fn submit_one(&mut self, node: usize, id: &str, expected: u64, retries: u32) {
+        self.submit(
+            node,
+            submission(id, expected, vec![record("payouts", retries)]),
+        );
+    }
+
+    /// Returns a counter of a daemon.
+    pub fn counted(&self, node: usize, name: &'static str) -> u64 {
+        let mut sum = 0;
+        for (counter, count) in self.network.nodes[node].counters.iter() {
+            if counter.name == name {
+                sum += count;
+            }
+        }
+        sum
+    }
+
     pub fn submit(&mut self, node: usize, submission: Submission) -> CallKey {
         self.next_call += 1;
         let call = CallKey(self.next_call);
