Show each guard of the configuration red with its mechanism off

Cause: with the guard against a lower version, the wake-up check or the draft's digest off, no case failed: the tables did not reach them. Change: three cases that do. Not shown red by a case: telling the next daemon of the zone; it is a matter of measurement.

--- a/tests/config.rs
+++ b/tests/config.rs
@@ -13,6 +13,7 @@
 use dragonflylug::ids::InboundKey;
 use dragonflylug::kernel::{Event, StateChange};
 use dragonflylug::peer::PeerQuestion;
+use dragonflylug::sorted::SortedMap;
 use network::PlatformFault;
 
 const SECOND_US: u64 = 1_000_000;
@@ -192,6 +193,38 @@
         assert_eq!(cluster.retries(6, "payouts"), Some(2));
         2
     },
+    a_slow_stale_read_ends_after_peers_told_more => |cluster| {
+        let stale = cluster.network.rows.clone();
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(IN_FORCE_US);
+        let fresh = std::mem::replace(&mut cluster.network.rows, stale);
+        cluster.network.platform_fault = PlatformFault::Slow(400_000);
+        let new = cluster.add();
+        cluster.network.passes = Box::new(move |from, to| from != new && to != new);
+        cluster.run(500_000);
+        cluster.network.passes = Box::new(|_, _| true);
+        offer(cluster, new, Message::Push(vec![stored_change(&fresh, 1), stored_change(&fresh, 2)]));
+        assert_eq!(cluster.version(new), 2);
+        cluster.run(3 * SECOND_US);
+        cluster.network.platform_fault = PlatformFault::None;
+        cluster.network.rows = fresh;
+        2
+    },
+    a_read_mixes_a_new_version_with_old_records => |cluster| {
+        let mut mixed = cluster.network.rows.clone();
+        cluster.submit_one(3, "c2", 1, 2);
+        cluster.run(IN_FORCE_US);
+        let version = cluster.network.rows.get(&"config/version".to_string()).unwrap();
+        mixed.insert("config/version".into(), version.clone());
+        let fresh = std::mem::replace(&mut cluster.network.rows, mixed);
+        let new = cluster.add();
+        cluster.network.passes = Box::new(move |from, to| from != new && to != new);
+        cluster.run(SECOND_US);
+        assert_eq!(cluster.version(new), 0);
+        cluster.network.passes = Box::new(|_, _| true);
+        cluster.network.rows = fresh;
+        2
+    },
     reads_are_stale_for_a_while => |cluster| {
         let stale = cluster.network.rows.clone();
         cluster.submit_one(3, "c2", 1, 2);
@@ -214,6 +247,13 @@
     }
 }
 
+/// Returns an accepted change from the table's rows.
+fn stored_change(rows: &SortedMap<String, (u64, String)>, version: u64) -> Change {
+    let (_, text) = rows.get(&format!("config/change/{version:020}")).unwrap();
+    let row: serde_json::Value = serde_json::from_str(text).unwrap();
+    serde_json::from_value(row["change"].clone()).unwrap()
+}
+
 fn offer(cluster: &mut Cluster, node: usize, message: Message) {
     let event = Event::Asked {
         inbound: InboundKey(0),
@@ -270,8 +310,11 @@
     cluster.run(IN_FORCE_US);
     let until_us = cluster.network.now_us + 10 * SECOND_US;
     cluster.network.pause(1, until_us);
+    cluster.network.passes = Box::new(|from, to| from != 1 && to != 1);
     cluster.submit_one(0, "c2", 1, 4);
-    cluster.run(10 * SECOND_US);
+    cluster.run(10 * SECOND_US - 1);
+    cluster.network.passes = Box::new(|_, _| true);
+    cluster.run(1);
     assert!(cluster.config(1).is_behind());
     assert_eq!(cluster.version(1), 1);
     cluster.run(10_000);
