--- a/tests/config.rs
+++ b/tests/config.rs
@@ -8,7 +8,7 @@
 #[path = "support/network.rs"]
 mod network;
 
-use config::{Cluster, record, submission};
+use config::{CALLER, Caller, Cluster, record, submission};
 use dragonflylug::config::{Change, Config, ConfigSettings, Message, NAME, SubmitOutcome};
 use dragonflylug::ids::InboundKey;
 use dragonflylug::kernel::{Event, StateChange};
@@ -290,6 +290,26 @@
     assert_eq!(cluster.versions(), [0, 0]);
 }
 
+#[test]
+fn a_version_on_a_call_is_fetched_from_the_caller_at_once() {
+    let mut cluster = Cluster::new(2);
+    cluster.run(SECOND_US);
+    cluster.network.passes = Box::new(|_, _| false);
+    cluster.submit_one(0, "c1", 0, 3);
+    cluster.run(10_000);
+    cluster.network.platform_fault = PlatformFault::Down;
+    cluster.network.passes = Box::new(|_, _| true);
+    assert_eq!(cluster.versions(), [1, 0]);
+    let (version, from) = (1, cluster.members[0].address);
+    let kernel = &mut cluster.network.nodes[1].kernel;
+    kernel.register(Box::new(Caller { version, from }));
+    cluster.network.event(1, CALLER, Event::Started);
+    assert!(cluster.config(1).is_behind());
+    cluster.run(5_000);
+    assert_eq!(cluster.versions(), [1, 1]);
+    assert!(!cluster.config(1).is_behind());
+}
+
 #[test]
 fn a_version_that_nobody_has_holds_up_calls_no_longer_than_the_setting() {
     let mut cluster = Cluster::new(3);
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -9,7 +9,7 @@
     SubmitOutcome,
 };
 use dragonflylug::ids::{CallKey, MemberId, Priority};
-use dragonflylug::kernel::{Event, Kernel, Notice};
+use dragonflylug::kernel::{Context, Event, Kernel, Notice, Service};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::operator::{OperatorReply, OperatorRequest};
 use dragonflylug::sorted::SortedMap;
@@ -256,3 +256,26 @@
         removed: Vec::new(),
     }
 }
+
+/// The name of [`Caller`].
+pub const CALLER: &str = "caller";
+
+/// A service that takes a call with a greater version from another daemon.
+pub struct Caller {
+    pub version: u64,
+    pub from: SocketAddr,
+}
+
+impl Service for Caller {
+    fn name(&self) -> &'static str {
+        CALLER
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        if matches!(event, Event::Started) {
+            context.with(NAME, |config: &mut Config, context| {
+                config.note_version(context, self.version, self.from);
+            });
+        }
+    }
+}
