Repair what news did not reach by comparing rosters

Cause: with 100 members started within 2 s, news of some was told before the others had joined, and nothing repaired it.

Change: each 5 s a daemon compares hashes of its roster with one of the members that it probes, step by step into a range of ids that differs, and both tell what the other missed. News that is heard again counts as told, and what a peer just told is not told back to it.

Ruled out: answering a range by the same message. Both sides then sent all that the other's part did not list, for ever, and spent the whole budget: 10 members did not settle within 60 s. What was missed is a message of its own now.

--- a/src/membership.rs
+++ b/src/membership.rs
@@ -8,6 +8,7 @@
 mod gossip;
 mod message;
 mod probe;
+mod range;
 mod roster;
 mod service;
 mod settings;
@@ -19,8 +20,9 @@
 use crate::derives::{message, value};
 use crate::ids::{AvailabilityZone, MemberId, ServiceName};
 
-pub use gossip::{Budget, UpdateQueue};
+pub use gossip::{Budget, Tell, UpdateQueue};
 pub use message::{Gossip, Message, Update, encoded_bytes};
+pub use range::{IdRange, PartDigest};
 pub use roster::{Learned, Roster};
 pub use service::Membership;
 pub use settings::MembershipSettings;
@@ -67,4 +69,16 @@
     pub fn freshness(&self) -> (u32, MemberState) {
         (self.incarnation, self.state)
     }
+
+    /// Returns a hash of all there is to know of the member.
+    fn hash(&self) -> u32 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(&self.id.0.to_le_bytes());
+        hasher.update(&self.incarnation.to_le_bytes());
+        hasher.update(&[self.state as u8]);
+        hasher.update(&self.slots.to_le_bytes());
+        let service = self.service.as_ref().map_or("", ServiceName::as_str);
+        hasher.update(service.as_bytes());
+        hasher.digest() as u32
+    }
 }
--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -21,6 +21,23 @@
         }
     }
 
+    /// Adds news of a member that was told so many times already; newer news stays.
+    pub fn push_told(&mut self, id: MemberId, told: usize) {
+        if !self.told.contains_key(&id) {
+            self.told.insert(id, told);
+            self.round(told).push_back(id);
+        }
+    }
+
+    /// Notes that another member knew the news already: it counts as told so many times more.
+    pub fn known(&mut self, id: MemberId, by: usize) {
+        if let Some(told) = self.told.get_mut(&id) {
+            *told += by;
+            let told = *told;
+            self.round(told).push_back(id);
+        }
+    }
+
     /// Returns the number of members with news.
     pub fn len(&self) -> usize {
         self.told.len()
@@ -31,28 +48,32 @@
         self.told.is_empty()
     }
 
-    /// Hands members with news to `take` until it returns false; news told `times` is dropped.
-    pub fn tell(&mut self, times: usize, mut take: impl FnMut(MemberId) -> bool) {
-        let mut taken = Vec::new();
-        let mut goes_on = true;
+    /// Offers members with news to `take`, those told least often first, until there is no room.
+    ///
+    /// News that was told so many `times` is dropped.
+    pub fn tell(&mut self, times: usize, mut take: impl FnMut(MemberId) -> Tell) {
+        let mut kept = Vec::new();
+        let mut is_full = false;
         for at in 0..self.rounds.len() {
-            while goes_on && let Some(id) = self.rounds[at].pop_front() {
+            while !is_full && let Some(id) = self.rounds[at].pop_front() {
                 if self.told.get(&id) != Some(&at) {
                     continue;
                 }
-                goes_on = take(id);
-                if !goes_on {
-                    self.rounds[at].push_front(id);
-                    break;
+                if at >= times {
+                    self.told.remove(&id);
+                    continue;
+                }
+                match take(id) {
+                    Tell::Done => kept.push((id, at + 1)),
+                    Tell::Later => kept.push((id, at)),
+                    Tell::Full => {
+                        self.rounds[at].push_front(id);
+                        is_full = true;
+                    }
                 }
-                taken.push((id, at + 1));
             }
         }
-        for (id, told) in taken {
-            if told >= times {
-                self.told.remove(&id);
-                continue;
-            }
+        for (id, told) in kept {
             self.told.insert(id, told);
             self.round(told).push_back(id);
         }
@@ -66,6 +87,17 @@
     }
 }
 
+/// What became of news that was offered for a message.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Tell {
+    /// It is told.
+    Done,
+    /// It waits for another message.
+    Later,
+    /// The message has no room for it.
+    Full,
+}
+
 /// The bytes that may be sent: saved up at a steady rate to a greatest amount.
 #[derive(Clone, Debug)]
 pub struct Budget {
--- a/src/membership/message.rs
+++ b/src/membership/message.rs
@@ -4,13 +4,16 @@
 
 use macro_rules_attribute::apply;
 
-use super::{Member, MemberState};
+use super::{IdRange, Member, MemberState};
 use crate::derives::message;
 use crate::ids::MemberId;
 
 /// The bytes of an envelope around each message: link headers and the call's frame.
 pub const ENVELOPE_BYTES: usize = 100;
 
+/// The greatest encoded size of a range of ids.
+const RANGE_BYTES: usize = 10;
+
 /// A membership message between daemons.
 #[apply(message!)]
 pub enum Message {
@@ -51,6 +54,27 @@
         /// Whether there are more after the last one.
         has_more: bool,
     },
+    /// Which part of a range of ids do you know otherwise?
+    Compare {
+        /// The range.
+        range: IdRange,
+        /// The hashes of its parts.
+        hashes: Vec<u32>,
+    },
+    /// All that the sender knows of a range of ids.
+    Range {
+        /// The range.
+        range: IdRange,
+        /// News of its members.
+        updates: Vec<Update>,
+    },
+    /// What the other side did not know of a range of ids.
+    Missed {
+        /// News of its members.
+        updates: Vec<Update>,
+    },
+    /// Both know the same of a range.
+    Same,
 }
 
 /// What rides on a message.
@@ -89,6 +113,16 @@
         }
     }
 
+    /// Returns what decides between two reports of the same member: the greater is newer.
+    pub fn freshness(&self) -> (u32, MemberState) {
+        match self {
+            Self::Whole(member) => member.freshness(),
+            Self::State {
+                state, incarnation, ..
+            } => (*incarnation, *state),
+        }
+    }
+
     /// Returns the encoded size in bytes.
     pub fn bytes(&self) -> usize {
         let content_bytes = match self {
@@ -103,14 +137,18 @@
 
 impl Gossip {
     fn bytes(&self) -> usize {
-        let mut bytes = integer_bytes(self.from.0)
+        integer_bytes(self.from.0)
             + integer_bytes(u64::from(self.incarnation))
-            + integer_bytes(self.updates.len() as u64);
-        for update in &self.updates {
-            bytes += update.bytes();
-        }
-        bytes
+            + updates_bytes(&self.updates)
+    }
+}
+
+fn updates_bytes(updates: &[Update]) -> usize {
+    let mut bytes = integer_bytes(updates.len() as u64);
+    for update in updates {
+        bytes += update.bytes();
     }
+    bytes
 }
 
 /// Returns the size of a message on the link in bytes, its envelope included.
@@ -123,7 +161,16 @@
             address,
             gossip,
         } => integer_bytes(to.0) + address_bytes(address) + gossip.bytes(),
-        Message::Unreached => 0,
+        Message::Unreached | Message::Same => 0,
+        Message::Compare { hashes, .. } => {
+            let mut bytes = RANGE_BYTES + integer_bytes(hashes.len() as u64);
+            for hash in hashes {
+                bytes += integer_bytes(u64::from(*hash));
+            }
+            bytes
+        }
+        Message::Missed { updates } => updates_bytes(updates),
+        Message::Range { updates, .. } => RANGE_BYTES + updates_bytes(updates),
         Message::List { from, after } => {
             member_bytes(from) + 1 + after.map_or(0, |after| integer_bytes(after.0))
         }
--- /dev/null
+++ b/src/membership/range.rs
@@ -0,0 +1,73 @@
+//! Ranges of member ids, by which two daemons find where their rosters differ.
+
+use macro_rules_attribute::apply;
+
+use crate::derives::value;
+use crate::ids::MemberId;
+
+/// The bits of an id that one step into a range fixes.
+const STEP_BITS: u32 = 4;
+
+/// The ids that begin with the same bits.
+#[apply(value!)]
+pub struct IdRange {
+    first: u64,
+    depth: u8,
+}
+
+/// What is known of one part of a range.
+#[apply(value!)]
+#[derive(Default)]
+pub struct PartDigest {
+    /// The hashes of the part's members, combined.
+    pub hash: u32,
+    /// The number of the part's members.
+    pub members: u32,
+}
+
+impl IdRange {
+    /// The parts of a range.
+    pub const PARTS: usize = 1 << STEP_BITS;
+
+    /// The greatest depth of a range that has parts.
+    const DEEPEST: u8 = (u64::BITS / STEP_BITS) as u8 - 1;
+
+    /// The range of all ids.
+    pub const ALL: Self = Self { first: 0, depth: 0 };
+
+    /// Returns the least id of the range.
+    pub fn first(self) -> MemberId {
+        MemberId(self.first)
+    }
+
+    /// Says whether the range has parts; one that a peer sent may be too deep.
+    pub fn has_parts(self) -> bool {
+        self.depth <= Self::DEEPEST
+    }
+
+    /// Says whether an id is in the range.
+    pub fn contains(self, id: MemberId) -> bool {
+        let fixed_bits = (u32::from(self.depth) * STEP_BITS).min(u64::BITS);
+        let free_bits = u64::BITS - fixed_bits;
+        let prefix = |id: u64| id.checked_shr(free_bits).unwrap_or(0);
+        prefix(id.0) == prefix(self.first)
+    }
+
+    /// Returns the part of the range that an id is in.
+    pub fn part_of(self, id: MemberId) -> usize {
+        (id.0 >> self.part_shift()) as usize % Self::PARTS
+    }
+
+    /// Returns a part of the range.
+    pub fn part(self, at: usize) -> Self {
+        Self {
+            first: self.first | (at as u64) << self.part_shift(),
+            depth: self.depth + 1,
+        }
+    }
+
+    fn part_shift(self) -> u32 {
+        let depth = u32::from(self.depth.min(Self::DEEPEST));
+        u64::BITS - (depth + 1) * STEP_BITS
+    }
+}
--- a/src/membership/roster.rs
+++ b/src/membership/roster.rs
@@ -4,6 +4,7 @@
 
 use slotmap::SlotMap;
 
+use super::range::{IdRange, PartDigest};
 use super::{Member, MemberState};
 use crate::ids::{AvailabilityZone, MemberId, ServiceName};
 use crate::sorted::SortedMap;
@@ -16,7 +17,7 @@
 /// Members by id and by address, and those that are gone.
 #[derive(Default)]
 pub struct Roster {
-    records: SlotMap<RecordKey, Member>,
+    records: SlotMap<RecordKey, Record>,
     by_id: SortedMap<MemberId, RecordKey>,
     by_address: SortedMap<SocketAddr, RecordKey>,
     gone: SortedMap<MemberId, GoneMember>,
@@ -24,6 +25,12 @@
     services: Vec<ServiceName>,
 }
 
+/// A member with the hash of all there is to know of it.
+struct Record {
+    member: Member,
+    hash: u32,
+}
+
 /// A member that is gone, kept so that old news does not bring it back.
 struct GoneMember {
     member: Member,
@@ -50,13 +57,13 @@
     /// Returns a member that is not gone.
     pub fn get(&self, id: MemberId) -> Option<&Member> {
         let key = self.by_id.get(&id)?;
-        self.records.get(*key)
+        self.member(*key)
     }
 
     /// Returns the member at an address.
     pub fn at_address(&self, address: SocketAddr) -> Option<&Member> {
         let key = self.by_address.get(&address)?;
-        self.records.get(*key)
+        self.member(*key)
     }
 
     /// Returns what is remembered of a member that is gone.
@@ -77,13 +84,13 @@
 
     /// Returns the members in order of their ids.
     pub fn members(&self) -> impl Iterator<Item = &Member> {
-        self.by_id.values().filter_map(|key| self.records.get(*key))
+        self.by_id.values().filter_map(|key| self.member(*key))
     }
 
     /// Returns the member at a position in order of ids.
     pub fn member_at(&self, at: usize) -> Option<&Member> {
         let (_, key) = self.by_id.entry_at(at)?;
-        self.records.get(*key)
+        self.member(*key)
     }
 
     /// Returns the position of the first member whose id is not less.
@@ -158,13 +165,46 @@
         self.gone.retain(|_, gone| gone.forget_at_us > now_us);
     }
 
+    /// Returns what is known of the parts of a range of ids.
+    pub fn parts(&self, range: IdRange) -> [PartDigest; IdRange::PARTS] {
+        let mut digests = [PartDigest::default(); IdRange::PARTS];
+        let from = self.position(range.first());
+        for at in from..self.by_id.len() {
+            let Some((id, key)) = self.by_id.entry_at(at) else {
+                break;
+            };
+            if !range.contains(*id) {
+                break;
+            }
+            let Some(record) = self.records.get(*key) else {
+                continue;
+            };
+            let digest = &mut digests[range.part_of(*id)];
+            digest.hash ^= record.hash;
+            digest.members += 1;
+        }
+        digests
+    }
+
+    /// Returns the members in a range of ids.
+    pub fn in_range(&self, range: IdRange) -> impl Iterator<Item = &Member> {
+        let from = self.position(range.first());
+        (from..self.by_id.len())
+            .filter_map(|at| self.member_at(at))
+            .take_while(move |member| range.contains(member.id))
+    }
+
+    fn member(&self, key: RecordKey) -> Option<&Member> {
+        Some(&self.records.get(key)?.member)
+    }
+
     fn bury(&mut self, member: Member, forget_at_us: u64) -> Learned {
         let key = self.by_id.remove(&member.id);
         if let Some(key) = key
             && let Some(known) = self.records.remove(key)
-            && self.by_address.get(&known.address) == Some(&key)
+            && self.by_address.get(&known.member.address) == Some(&key)
         {
-            self.by_address.remove(&known.address);
+            self.by_address.remove(&known.member.address);
         }
         let gone = GoneMember {
             member,
@@ -180,19 +220,22 @@
     fn put(&mut self, mut member: Member) {
         self.share_names(&mut member);
         self.gone.remove(&member.id);
-        let address = member.address;
-        if let Some(key) = self.by_id.get(&member.id).copied() {
+        let (id, address) = (member.id, member.address);
+        let record = Record {
+            hash: member.hash(),
+            member,
+        };
+        if let Some(key) = self.by_id.get(&id).copied() {
             let known = &mut self.records[key];
-            let old_address = known.address;
-            *known = member;
+            let old_address = known.member.address;
+            *known = record;
             if old_address != address {
                 self.by_address.remove(&old_address);
             }
             self.by_address.insert(address, key);
             return;
         }
-        let id = member.id;
-        let key = self.records.insert(member);
+        let key = self.records.insert(record);
         self.by_id.insert(id, key);
         self.by_address.insert(address, key);
     }
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -2,6 +2,7 @@
 
 mod joining;
 mod probing;
+mod syncing;
 
 use rand::Rng;
 use rand::seq::index;
@@ -9,7 +10,9 @@
 use super::contacts::Backoff;
 use super::message::{Gossip, Message, Update, encoded_bytes};
 use super::probe::Prober;
-use super::{Budget, Learned, Member, MemberState, MembershipSettings, NAME, Roster, UpdateQueue};
+use super::{
+    Budget, Learned, Member, MemberState, MembershipSettings, NAME, Roster, Tell, UpdateQueue,
+};
 use crate::ids::{AskKey, InboundKey, MemberId};
 use crate::kernel::{Context, Event, Notice, Service, StateChange};
 use crate::metrics::Counter;
@@ -33,6 +36,23 @@
 /// The times that news is told by each daemon, for each doubling of the members.
 const TELLS_PER_DOUBLING: usize = 2;
 
+/// The times that others tell news to a daemon until it tells that news no longer.
+const REPEATS_UNTIL_DROPPED: usize = 3;
+
+/// The times that a daemon tells news that it missed before.
+const REPAIR_TELLS: usize = 2;
+
+/// How far news is spread.
+#[derive(Clone, Copy)]
+enum Spread {
+    /// To all members.
+    Whole,
+    /// To a few, as most know it already.
+    Little,
+    /// To none.
+    Nothing,
+}
+
 /// The timers of the service.
 #[derive(Clone, Copy)]
 enum Tag {
@@ -42,6 +62,7 @@
     Platform = 4,
     Row = 5,
     Rows = 6,
+    Sync = 7,
 }
 
 /// A question that this daemon sent.
@@ -52,6 +73,7 @@
     ForPeer(InboundKey),
     ProbeGone,
     List,
+    Sync { to: MemberId, parts_left: u32 },
     Scan,
     WriteRow,
     ReadSnapshot,
@@ -149,10 +171,10 @@
             let other = other.id;
             self.remove(context, other);
         }
-        self.learn(context, member, true);
+        self.learn(context, member, Spread::Whole);
     }
 
-    fn learn(&mut self, context: &mut Context<'_>, report: Member, is_news: bool) {
+    fn learn(&mut self, context: &mut Context<'_>, report: Member, spread: Spread) {
         if report.id == self.own.id {
             self.refute(context, report.freshness());
             return;
@@ -162,18 +184,16 @@
             return;
         }
         let forget_at_us = self.forget_at_us(context);
-        let id = report.id;
+        let (id, freshness) = (report.id, report.freshness());
         match self.roster.learn(report, forget_at_us) {
-            Learned::Nothing => {}
+            Learned::Nothing => self.note_known(id, freshness),
             Learned::AddressTaken(other) => self.queue.push(other),
-            Learned::Gone => self.note_gone(context, id),
+            Learned::Gone => self.note_gone(context, id, spread),
             Learned::Changed { replaced } => {
                 if let Some(replaced) = replaced {
-                    self.note_gone(context, replaced);
-                }
-                if is_news {
-                    self.queue.push(id);
+                    self.note_gone(context, replaced, spread);
                 }
+                self.spread(id, spread);
                 self.note_changed(context, id);
             }
         }
@@ -185,15 +205,41 @@
         }
     }
 
-    fn note_gone(&mut self, context: &mut Context<'_>, id: MemberId) {
-        self.queue.push(id);
+    /// News that a peer knew already is known by more members than were told.
+    fn note_known(&mut self, id: MemberId, freshness: (u32, MemberState)) {
+        let known = self.roster.get(id).or_else(|| self.roster.gone(id));
+        if known.is_some_and(|known| known.freshness() == freshness) {
+            let times = self.tell_times();
+            self.queue.known(id, times.div_ceil(REPEATS_UNTIL_DROPPED));
+        }
+    }
+
+    fn spread(&mut self, id: MemberId, spread: Spread) {
+        match spread {
+            Spread::Whole => self.queue.push(id),
+            Spread::Little => {
+                let told = self.tell_times().saturating_sub(REPAIR_TELLS);
+                self.queue.push_told(id, told);
+            }
+            Spread::Nothing => {}
+        }
+    }
+
+    /// Returns how often news is told by each daemon that nobody is known to know.
+    fn tell_times(&self) -> usize {
+        let doublings = usize::BITS - self.roster.len().leading_zeros();
+        TELLS_PER_DOUBLING * doublings as usize
+    }
+
+    fn note_gone(&mut self, context: &mut Context<'_>, id: MemberId, spread: Spread) {
+        self.spread(id, spread);
         context.publish(Notice::MemberGone(id));
     }
 
     fn remove(&mut self, context: &mut Context<'_>, id: MemberId) {
         let forget_at_us = self.forget_at_us(context);
         if let Some(member) = self.roster.remove(id, forget_at_us) {
-            self.note_gone(context, id);
+            self.note_gone(context, id, Spread::Whole);
             context.log(StateChange::new("member", "gone", describe(&member)));
         }
     }
@@ -265,17 +311,24 @@
         context.now_us() + u64::from(self.settings.gone_memory_ms) * 1_000
     }
 
-    /// Takes in what rode on a message.
-    fn absorb(&mut self, context: &mut Context<'_>, gossip: Gossip) {
+    /// Takes in what rode on a message and returns the members that it was about.
+    fn absorb(&mut self, context: &mut Context<'_>, gossip: Gossip) -> Vec<MemberId> {
+        let mut heard = Vec::new();
         for update in gossip.updates {
-            match update {
-                Update::Whole(member) => self.learn(context, member, true),
-                Update::State {
-                    id,
-                    state,
-                    incarnation,
-                } => self.learn_state(context, id, state, incarnation),
-            }
+            heard.push(update.id());
+            self.absorb_one(context, update, Spread::Whole);
+        }
+        heard
+    }
+
+    fn absorb_one(&mut self, context: &mut Context<'_>, update: Update, spread: Spread) {
+        match update {
+            Update::Whole(member) => self.learn(context, member, spread),
+            Update::State {
+                id,
+                state,
+                incarnation,
+            } => self.learn_state(context, id, (incarnation, state), spread),
         }
     }
 
@@ -283,24 +336,23 @@
         &mut self,
         context: &mut Context<'_>,
         id: MemberId,
-        state: MemberState,
-        incarnation: u32,
+        freshness: (u32, MemberState),
+        spread: Spread,
     ) {
         if id == self.own.id {
-            self.refute(context, (incarnation, state));
+            self.refute(context, freshness);
             return;
         }
         let Some(known) = self.roster.get(id).or_else(|| self.roster.gone(id)) else {
             return;
         };
         let mut report = known.clone();
-        report.state = state;
-        report.incarnation = incarnation;
-        self.learn(context, report, true);
+        (report.incarnation, report.state) = freshness;
+        self.learn(context, report, spread);
     }
 
-    /// Picks the news that rides on a message to a member.
-    fn gossip(&mut self, context: &Context<'_>, to: MemberId) -> Gossip {
+    /// Picks the news that rides on a message to a member, without what it told itself.
+    fn gossip(&mut self, context: &Context<'_>, to: MemberId, heard: &[MemberId]) -> Gossip {
         let mut updates = Vec::new();
         let mut bytes = 0;
         if let Some(update) = self.contradictable(to) {
@@ -308,18 +360,21 @@
         }
         let left_bytes = self.budget.left_bytes(context.now_us());
         let room_bytes = left_bytes.min(self.settings.updates_max_bytes as usize);
-        let doublings = (usize::BITS - self.roster.len().leading_zeros()) as usize;
+        let times = self.tell_times();
         let roster = &self.roster;
-        self.queue.tell(TELLS_PER_DOUBLING * doublings, |id| {
+        self.queue.tell(times, |id| {
             let Some(update) = news_of(roster, id) else {
-                return true;
+                return Tell::Done;
             };
+            if heard.contains(&id) {
+                return Tell::Later;
+            }
             bytes += update.bytes();
             if bytes > room_bytes {
-                return false;
+                return Tell::Full;
             }
             updates.push(update);
-            true
+            Tell::Done
         });
         Gossip {
             from: self.own.id,
@@ -384,6 +439,7 @@
             tag if tag == Tag::Platform as u64 => self.find_contacts(context),
             tag if tag == Tag::Row as u64 => self.write_own_row(context),
             tag if tag == Tag::Rows as u64 => self.refresh_rows(context),
+            tag if tag == Tag::Sync as u64 => self.sync(context),
             _ => {}
         }
     }
--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -4,7 +4,7 @@
 
 use rand::RngExt;
 
-use super::{Ask, InboundKey, Member, Membership, Message, Tag};
+use super::{Ask, InboundKey, Member, Membership, Message, Spread, Tag};
 use crate::ids::MemberId;
 use crate::kernel::{Context, LinkError, StateChange};
 use crate::membership::contacts;
@@ -35,6 +35,9 @@
         let rows_us = u64::from(self.settings.row_refresh_ms) * 1_000;
         let phase_us = context.rng().random_range(rows_us / 2..=rows_us);
         self.timer(context, phase_us, Tag::Rows);
+        let sync_us = u64::from(self.settings.sync_period_ms) * 1_000;
+        let phase_us = context.rng().random_range(0..=sync_us);
+        self.timer(context, phase_us, Tag::Sync);
         self.queue.push(self.own.id);
         self.find_contacts(context);
         self.write_own_row(context);
@@ -176,7 +179,7 @@
         };
         for member in members {
             self.joining.after = self.joining.after.max(Some(member.id));
-            self.learn(context, member, false);
+            self.learn(context, member, Spread::Nothing);
         }
         if has_more {
             let period_us = u64::from(self.settings.list_period_ms) * 1_000;
--- a/src/membership/service/probing.rs
+++ b/src/membership/service/probing.rs
@@ -4,7 +4,7 @@
 
 use super::{
     Ask, InboundKey, MEMBERS_FAILED, MEMBERS_SUSPECTED, Member, MemberState, Membership, Message,
-    Prober, Tag, Update, describe,
+    Prober, Spread, Tag, Update, describe,
 };
 use crate::ids::MemberId;
 use crate::kernel::{Context, LinkError, StateChange};
@@ -34,7 +34,7 @@
             return;
         };
         let address = member.address;
-        let gossip = self.gossip(context, id);
+        let gossip = self.gossip(context, id, &[]);
         let message = Message::Probe { to: id, gossip };
         let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
         self.asks.insert(ask, Ask::Probe(id));
@@ -55,7 +55,7 @@
         if self.roster.at_address(address).is_some() {
             return;
         }
-        let gossip = self.gossip(context, id);
+        let gossip = self.gossip(context, id, &[]);
         let message = Message::Probe { to: id, gossip };
         let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
         self.asks.insert(ask, Ask::ProbeGone);
@@ -94,8 +94,8 @@
         match message {
             Message::Probe { to, gossip } => {
                 let from = gossip.from;
-                self.absorb(context, gossip);
-                let mut gossip = self.gossip(context, from);
+                let heard = self.absorb(context, gossip);
+                let mut gossip = self.gossip(context, from, &heard);
                 if to != self.own.id {
                     gossip.updates.push(Update::Whole(self.own.clone()));
                 }
@@ -107,15 +107,28 @@
                 gossip,
             } => {
                 self.absorb(context, gossip);
-                let gossip = self.gossip(context, to);
+                let gossip = self.gossip(context, to, &[]);
                 let message = Message::Probe { to, gossip };
                 let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
                 self.asks.insert(ask, Ask::ForPeer(inbound));
             }
             Message::List { from, after } => self.answer_list(context, inbound, from, after),
-            Message::Alive { .. } | Message::Unreached | Message::Members { .. } => {
-                self.answer(context, inbound, Message::Unreached);
+            Message::Compare { range, hashes } => {
+                let answer = self.compare(context, range, &hashes);
+                self.answer(context, inbound, answer);
+            }
+            Message::Range { range, updates } => {
+                let updates = self.repair(context, range, updates);
+                self.answer(context, inbound, Message::Missed { updates });
+            }
+            Message::Missed { updates } => {
+                self.learn_missed(context, updates);
+                self.answer(context, inbound, Message::Same);
             }
+            Message::Alive { .. }
+            | Message::Unreached
+            | Message::Members { .. }
+            | Message::Same => self.answer(context, inbound, Message::Unreached),
         }
     }
 
@@ -140,7 +153,12 @@
                 self.answer(context, inbound, Message::Alive { gossip });
             }
             (Ask::ForPeer(inbound), _) => self.answer(context, inbound, Message::Unreached),
-            (Ask::ProbeGone, Ok(Message::Alive { gossip })) => self.absorb(context, gossip),
+            (Ask::ProbeGone, Ok(Message::Alive { gossip })) => {
+                self.absorb(context, gossip);
+            }
+            (Ask::Sync { to, parts_left }, Ok(message)) => {
+                self.synced(context, to, message, parts_left);
+            }
             (Ask::List, result) => self.listed(context, result),
             _ => {}
         }
@@ -165,7 +183,7 @@
         }
         self.prober.begin_check(id, relays.len() as u32);
         for relay in relays {
-            let gossip = self.gossip(context, relay.id);
+            let gossip = self.gossip(context, relay.id, &[]);
             let message = Message::Relay {
                 to: id,
                 address,
@@ -197,7 +215,7 @@
         context.log(StateChange::new("member", "suspected", describe(&report)));
         if report.state == MemberState::Alive {
             report.state = MemberState::Suspect;
-            self.learn(context, report, true);
+            self.learn(context, report, Spread::Whole);
         }
     }
 }
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -31,6 +31,8 @@
     pub retry_max_ms: u32,
     /// The time between two parts of the member list that a new daemon asks for.
     pub list_period_ms: u32,
+    /// The time between two comparisons of what is known with another member.
+    pub sync_period_ms: u32,
     /// How long a member that is gone is remembered.
     pub gone_memory_ms: u32,
     /// The time between two probes of members that are gone.
@@ -52,6 +54,7 @@
             platform_timeout_ms: 2_000,
             retry_max_ms: 30_000,
             list_period_ms: 50,
+            sync_period_ms: 5_000,
             gone_memory_ms: 3_600_000,
             gone_probe_ms: 10_000,
         }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -36,6 +36,7 @@
     check_all_find_each_other:
     two_find_each_other => 2,
     ten_find_each_other => 10,
+    a_hundred_find_each_other => 100,
 }
 
 #[test]
