Find contacts beside stale rows, and delete those rows

Cause: a daemon that started in a zone whose VMs were all lost read only rows of dead VMs and never joined. Seen before the change, 100 members, a zone lost, then a tenth replaced: one of 87 knew only itself after 900 s.

The members with the least id, of all and of each zone, read 64 rows a minute, probe the daemons of rows they don't know, delete a row after two looks without an answer (ten where the whole zone is unknown, as it may only be cut off), and merge with daemons that do answer. An example prints the figures by number of members.

--- /dev/null
+++ b/examples/membership_scale.rs
@@ -0,0 +1,194 @@
+//! Prints how membership behaves as members grow, in virtual time on a fake network.
+//!
+//! `cargo run --release --example membership_scale -- 10 30 100 300 1000`
+
+#[allow(missing_docs)]
+#[path = "../tests/support/cluster.rs"]
+mod cluster;
+#[allow(missing_docs)]
+#[path = "../tests/support/network.rs"]
+mod network;
+
+use std::time::Instant;
+
+use cluster::{Cluster, SECOND_US, address};
+use dragonflylug::kernel::Notice;
+use dragonflylug::metrics::Counter;
+use dragonflylug::target::Announcement;
+
+const ZONES: usize = 12;
+
+fn main() {
+    let sizes: Vec<usize> = std::env::args()
+        .skip(1)
+        .filter_map(|size| size.parse().ok())
+        .collect();
+    println!(
+        "| members | join s | idle B/s | idle messages/s | idle us/s | announced s | B a change | \
+         suspected s | gone for all s | suspicions | zone lost s | replaced s | replaced B/s | \
+         lag s | table reads | table writes |"
+    );
+    println!("|{}", " ---: |".repeat(16));
+    for size in sizes {
+        println!("{}", row(size));
+    }
+}
+
+/// Measures one size; each figure is of one run with a fixed seed.
+fn row(size: usize) -> String {
+    let mut cluster = Cluster::started(size, ZONES.min(size));
+    let start_us = cluster.network.now_us;
+    let has_joined = cluster.settles_within(300 * SECOND_US);
+    let join_s = seconds(&cluster, start_us, has_joined);
+    let (reads, writes) = (cluster.network.table_reads, cluster.network.table_writes);
+    cluster.run_for(60 * SECOND_US);
+    let idle = Usage::over(&mut cluster, 60);
+    let (announced_s, change_bytes) = announce(&mut cluster, &idle);
+    let (suspected_s, gone_s) = kill_some(&mut cluster);
+    let suspicions = cluster.network.counted(Counter::plain("members_suspected"));
+    let lost_s = lose_zone(&mut cluster);
+    let (replaced_s, replaced_bytes, lag_s) = replace_tenth(&mut cluster);
+    format!(
+        "| {size} | {join_s} | {:.0} | {:.2} | {:.0} | {announced_s} | {change_bytes:.0} | \
+         {suspected_s:.1} | {gone_s} | {suspicions} | {lost_s} | {replaced_s} | \
+         {replaced_bytes:.0} | {lag_s} | {reads} | {writes} |",
+        idle.bytes_per_s, idle.messages_per_s, idle.work_us_per_s
+    )
+}
+
+/// What a member spends, on average.
+struct Usage {
+    bytes_per_s: f64,
+    messages_per_s: f64,
+    /// Processor time with that of the fake network.
+    work_us_per_s: f64,
+}
+
+impl Usage {
+    fn over(cluster: &mut Cluster, seconds: u64) -> Self {
+        let bytes = cluster.network.counted(Counter::plain("gossip_bytes"));
+        let messages = cluster.network.counted(Counter::plain("gossip_messages"));
+        let began = Instant::now();
+        cluster.run_for(seconds * SECOND_US);
+        let work_us = began.elapsed().as_micros() as f64;
+        let bytes = cluster.network.counted(Counter::plain("gossip_bytes")) - bytes;
+        let messages = cluster.network.counted(Counter::plain("gossip_messages")) - messages;
+        let member_seconds = cluster.up().len() as f64 * seconds as f64;
+        Self {
+            bytes_per_s: bytes as f64 / member_seconds,
+            messages_per_s: messages as f64 / member_seconds,
+            work_us_per_s: work_us / member_seconds,
+        }
+    }
+}
+
+/// Returns how long until all know a service, and the bytes that each member sent for it.
+fn announce(cluster: &mut Cluster, idle: &Usage) -> (String, f64) {
+    const CHANGES: usize = 10;
+    let start_us = cluster.network.now_us;
+    for node in 0..CHANGES.min(cluster.up().len()) {
+        cluster.network.notice(node, announced("availability"));
+    }
+    let changed = CHANGES.min(cluster.up().len());
+    let all_know = |cluster: &mut Cluster| {
+        cluster.up().into_iter().all(|node| {
+            let membership = cluster.membership(node);
+            (0..changed).all(|of| {
+                membership
+                    .get(cluster::id(of))
+                    .is_some_and(|member| member.service.is_some())
+            })
+        })
+    };
+    let bytes = cluster.network.counted(Counter::plain("gossip_bytes"));
+    let done = cluster.runs_until(120 * SECOND_US, all_know);
+    let known_s = seconds(cluster, start_us, done);
+    cluster.run_for(60 * SECOND_US);
+    let bytes = cluster.network.counted(Counter::plain("gossip_bytes")) - bytes;
+    let passed_s = (cluster.network.now_us - start_us) as f64 / 1e6;
+    let each_bytes = bytes as f64 / cluster.up().len() as f64 - idle.bytes_per_s * passed_s;
+    (known_s, each_bytes / changed as f64)
+}
+
+/// Kills some members one by one; returns the mean times until one and until all know.
+fn kill_some(cluster: &mut Cluster) -> (f64, String) {
+    const KILLS: usize = 5;
+    let (mut suspected_s, mut gone_s) = (0.0, 0.0);
+    for _ in 0..KILLS {
+        let victim = cluster.up()[cluster.up().len() / 2];
+        let start_us = cluster.network.now_us;
+        let before = cluster.network.counted(Counter::plain("members_suspected"));
+        cluster.network.kill(victim);
+        cluster.runs_until(60 * SECOND_US, |cluster| {
+            cluster.network.counted(Counter::plain("members_suspected")) > before
+        });
+        suspected_s += (cluster.network.now_us - start_us) as f64 / 1e6;
+        if !cluster.settles_within(120 * SECOND_US) {
+            return (suspected_s, "not".to_string());
+        }
+        gone_s += (cluster.network.now_us - start_us) as f64 / 1e6;
+    }
+    let mean = |sum_s: f64| sum_s / KILLS as f64;
+    (mean(suspected_s), format!("{:.1}", mean(gone_s)))
+}
+
+/// Kills all members of a zone at once; returns the time until all others know.
+fn lose_zone(cluster: &mut Cluster) -> String {
+    let start_us = cluster.network.now_us;
+    for node in cluster.up() {
+        if cluster.zone(node) == 0 {
+            cluster.network.kill(node);
+        }
+    }
+    let done = cluster.settles_within(600 * SECOND_US);
+    seconds(cluster, start_us, done)
+}
+
+/// Replaces a tenth within a minute; returns the time until all know all, the bytes a second
+/// meanwhile, and how long after the last replacement that was.
+fn replace_tenth(cluster: &mut Cluster) -> (String, f64, String) {
+    cluster.run_for(60 * SECOND_US);
+    let replaced = cluster.up();
+    let count = replaced.len().div_ceil(10);
+    let start_us = cluster.network.now_us;
+    let bytes = cluster.network.counted(Counter::plain("gossip_bytes"));
+    for node in replaced.into_iter().take(count) {
+        cluster.network.notice(node, Notice::StopRequested);
+        cluster.run_for(SECOND_US / 10);
+        cluster.network.kill(node);
+        let new = cluster.add_at(address(cluster.network.nodes.len()));
+        cluster.network.notice(new, announced("permits"));
+        cluster.run_for((60 * SECOND_US / count as u64).saturating_sub(SECOND_US / 10));
+    }
+    let last_us = cluster.network.now_us;
+    let done = cluster.settles_within(900 * SECOND_US);
+    if !done {
+        eprintln!("not settled: {}", cluster.summary());
+    }
+    let passed_s = (cluster.network.now_us - start_us) as f64 / 1e6;
+    let bytes = cluster.network.counted(Counter::plain("gossip_bytes")) - bytes;
+    let bytes_per_s = bytes as f64 / passed_s / cluster.up().len() as f64;
+    (
+        seconds(cluster, start_us, done),
+        bytes_per_s,
+        seconds(cluster, last_us, done),
+    )
+}
+
+fn announced(service: &str) -> Notice {
+    Notice::TargetAnnounced(Announcement {
+        service: service.into(),
+        address: "127.0.0.1:9000".parse().unwrap(),
+        slots: 35,
+        connections: 300,
+        is_draining: false,
+    })
+}
+
+fn seconds(cluster: &Cluster, since_us: u64, done: bool) -> String {
+    let passed_s = (cluster.network.now_us - since_us) as f64 / 1e6;
+    match done {
+        true => format!("{passed_s:.1}"),
+        false => format!("over {passed_s:.0}"),
+    }
+}
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -11,6 +11,9 @@
 /// The start of the keys of all members' rows.
 const ROW_PREFIX: &str = "member/";
 
+/// A text greater than all ids in keys.
+const AFTER_ALL_IDS: char = '~';
+
 /// The name of the snapshot in the object store.
 const SNAPSHOT_NAME: &str = "members";
 
@@ -46,18 +49,29 @@
 
 /// Reads some rows of a zone, after a random one.
 pub(super) fn scan_zone(zone: &AvailabilityZone, limit: u32, rng: &mut impl Rng) -> TableRequest {
-    TableRequest::Scan {
-        prefix: format!("{ROW_PREFIX}{zone}/"),
-        after: Some(row_key(zone, MemberId(rng.random()))),
-        limit,
-    }
+    let after = row_key(zone, MemberId(rng.random()));
+    scan_rows(Some(zone), Some(after), limit)
 }
 
-/// Reads the first rows of any zone.
-pub(super) fn scan_all(limit: u32) -> TableRequest {
+/// Reads the first rows of the zone that comes after another one in the table.
+pub(super) fn scan_next_zone(zone: Option<&AvailabilityZone>, limit: u32) -> TableRequest {
+    let after = zone.map(|zone| format!("{ROW_PREFIX}{zone}/{AFTER_ALL_IDS}"));
+    scan_rows(None, after, limit)
+}
+
+/// Reads the rows of a zone, or of all zones, after a key.
+pub(super) fn scan_rows(
+    zone: Option<&AvailabilityZone>,
+    after: Option<String>,
+    limit: u32,
+) -> TableRequest {
+    let prefix = match zone {
+        Some(zone) => format!("{ROW_PREFIX}{zone}/"),
+        None => ROW_PREFIX.to_string(),
+    };
     TableRequest::Scan {
-        prefix: ROW_PREFIX.to_string(),
-        after: None,
+        prefix,
+        after,
         limit,
     }
 }
@@ -65,18 +79,23 @@
 /// Writes the row of a member.
 pub(super) fn write_row(member: &Member) -> TableRequest {
     let value = serde_json::to_string(member).unwrap_or_default();
-    write(member, Some(value))
+    write(member, Expected::Any, Some(value))
 }
 
 /// Deletes the row of a member.
 pub(super) fn delete_row(member: &Member) -> TableRequest {
-    write(member, None)
+    write(member, Expected::Any, None)
+}
+
+/// Deletes a row that nobody wrote since it was read.
+pub(super) fn delete_stale(member: &Member, version: u64) -> TableRequest {
+    write(member, Expected::Version(version), None)
 }
 
-fn write(member: &Member, value: Option<String>) -> TableRequest {
+fn write(member: &Member, expected: Expected, value: Option<String>) -> TableRequest {
     let write = TableWrite {
         key: row_key(&member.availability_zone, member.id),
-        expected: Expected::Any,
+        expected,
         value,
     };
     TableRequest::Write {
@@ -105,13 +124,13 @@
 }
 
 /// Returns the members of rows, without those that cannot be read.
-pub(super) fn row_members(rows: &[Row]) -> Vec<Member> {
+pub(super) fn row_members(rows: &[Row]) -> Vec<(Member, u64)> {
     let mut members = Vec::new();
     for row in rows {
         let Ok(member) = serde_json::from_str(&row.value) else {
             continue;
         };
-        members.push(member);
+        members.push((member, row.version));
     }
     members
 }
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -2,6 +2,7 @@
 
 mod joining;
 mod probing;
+mod rows;
 mod syncing;
 
 use rand::Rng;
@@ -20,6 +21,7 @@
 use crate::sorted::SortedMap;
 use crate::target::Announcement;
 use joining::Joining;
+use rows::Collecting;
 
 /// Bytes of membership messages that this daemon sent, answers included.
 const GOSSIP_BYTES: Counter = Counter::plain("gossip_bytes");
@@ -72,9 +74,11 @@
     Relayed(MemberId),
     ForPeer(InboundKey),
     ProbeGone,
+    ProbeRow(MemberId),
     List,
     Sync { to: MemberId, parts_left: u32 },
     Scan,
+    Collect,
     WriteRow,
     ReadSnapshot,
     WriteSnapshot,
@@ -91,6 +95,7 @@
     budget: Budget,
     prober: Prober,
     joining: Joining,
+    collecting: Collecting,
     asks: SortedMap<AskKey, Ask>,
     backoff: Backoff,
     row_backoff: Backoff,
@@ -110,6 +115,7 @@
             queue: UpdateQueue::default(),
             prober: Prober::default(),
             joining: Joining::default(),
+            collecting: Collecting::default(),
             asks: SortedMap::default(),
             backoff: Backoff::default(),
             row_backoff: Backoff::default(),
--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -2,14 +2,14 @@
 
 use std::net::SocketAddr;
 
-use rand::RngExt;
+use rand::{Rng, RngExt};
 
 use super::{Ask, InboundKey, Member, Membership, Message, Spread, Tag};
-use crate::ids::MemberId;
+use crate::ids::{AvailabilityZone, MemberId};
 use crate::kernel::{Context, LinkError, StateChange};
 use crate::membership::contacts;
 use crate::membership::message::member_bytes;
-use crate::table::{ObjectResponse, PlatformError, TableResponse};
+use crate::table::{ObjectResponse, PlatformError, Row, TableResponse};
 
 /// The size of the members in one part of the member list.
 const LIST_PART_BYTES: usize = 8_192;
@@ -22,6 +22,26 @@
     is_listing: bool,
     is_joined: bool,
     has_row: bool,
+    rounds: u32,
+    zones: Vec<AvailabilityZone>,
+    last_zone: Option<AvailabilityZone>,
+}
+
+impl Joining {
+    /// Returns the own zone at first, then any that has rows.
+    fn zone_to_scan(&self, own: &Member, rng: &mut impl Rng) -> AvailabilityZone {
+        if self.rounds == 0 || self.zones.is_empty() {
+            return own.availability_zone.clone();
+        }
+        self.zones[rng.random_range(0..self.zones.len())].clone()
+    }
+
+    fn saw_zone(&mut self, zone: &AvailabilityZone) {
+        if let Err(at) = self.zones.binary_search(zone) {
+            self.zones.insert(at, zone.clone());
+        }
+        self.last_zone = Some(zone.clone());
+    }
 }
 
 impl Membership {
@@ -58,13 +78,23 @@
             }
             return;
         }
+        let zone = self.joining.zone_to_scan(&self.own, context.rng());
         let limit = self.settings.contacts_max;
-        let zone = self.own.availability_zone.clone();
-        let near = contacts::scan_zone(&zone, limit, context.rng());
-        for request in [near, contacts::scan_all(limit)] {
+        let some = contacts::scan_zone(&zone, limit, context.rng());
+        let next = contacts::scan_next_zone(self.joining.last_zone.as_ref(), limit);
+        for request in [some, next] {
             let ask = context.table(request, self.platform_timeout_us());
             self.asks.insert(ask, Ask::Scan);
         }
+        if self.joining.rounds > 0 {
+            self.read_snapshot(context);
+        }
+        self.joining.rounds += 1;
+    }
+
+    fn read_snapshot(&mut self, context: &mut Context<'_>) {
+        let ask = context.object(contacts::read_snapshot(), self.platform_timeout_us());
+        self.asks.insert(ask, Ask::ReadSnapshot);
     }
 
     pub(super) fn write_own_row(&mut self, context: &mut Context<'_>) {
@@ -82,20 +112,6 @@
         self.asks.insert(ask, Ask::DeleteRow);
     }
 
-    /// The member with the least id writes the snapshot and looks for rows it does not know.
-    pub(super) fn refresh_rows(&mut self, context: &mut Context<'_>) {
-        let period_us = u64::from(self.settings.row_refresh_ms) * 1_000;
-        self.timer(context, period_us, Tag::Rows);
-        if self.roster.position(self.own.id) != 0 {
-            return;
-        }
-        let mut members = self.sample(context.rng(), self.settings.contacts_max as usize);
-        members.push(self.own.clone());
-        let request = contacts::write_snapshot(&members);
-        let ask = context.object(request, self.platform_timeout_us());
-        self.asks.insert(ask, Ask::WriteSnapshot);
-    }
-
     pub(super) fn table_answered(
         &mut self,
         context: &mut Context<'_>,
@@ -103,14 +119,9 @@
         result: Result<TableResponse, PlatformError>,
     ) {
         match (ask, result) {
-            (Ask::Scan, Ok(TableResponse::Rows(rows))) => {
-                self.found(context, &contacts::row_members(&rows));
-            }
-            (Ask::Scan, _) => {
-                let request = contacts::read_snapshot();
-                let ask = context.object(request, self.platform_timeout_us());
-                self.asks.insert(ask, Ask::ReadSnapshot);
-            }
+            (Ask::Scan, Ok(TableResponse::Rows(rows))) => self.scanned(context, &rows),
+            (Ask::Scan, _) => self.read_snapshot(context),
+            (Ask::Collect, Ok(TableResponse::Rows(rows))) => self.collect(context, &rows),
             (Ask::WriteRow, Ok(_)) => self.joining.has_row = true,
             (Ask::WriteRow, Err(_)) => {
                 let again_us = self
@@ -133,6 +144,18 @@
         }
     }
 
+    fn scanned(&mut self, context: &mut Context<'_>, rows: &[Row]) {
+        let mut members = Vec::new();
+        for (member, _) in contacts::row_members(rows) {
+            self.joining.saw_zone(&member.availability_zone);
+            members.push(member);
+        }
+        if rows.is_empty() {
+            self.joining.last_zone = None;
+        }
+        self.found(context, &members);
+    }
+
     /// Takes in possible contacts; an earlier daemon at this address is gone.
     fn found(&mut self, context: &mut Context<'_>, members: &[Member]) {
         for member in members {
@@ -151,6 +174,16 @@
         }
     }
 
+    /// Asks a daemon that was not known for its member list: the two did not know of each other.
+    pub(super) fn merge(&mut self, context: &mut Context<'_>, address: SocketAddr) {
+        if self.joining.is_listing {
+            return;
+        }
+        self.joining.is_listing = true;
+        self.joining.after = None;
+        self.ask_list(context, address);
+    }
+
     /// Asks for the next part of the member list, of a contact at first, then of any member.
     pub(super) fn list(&mut self, context: &mut Context<'_>) {
         let known = self.sample(context.rng(), 1);
@@ -163,6 +196,10 @@
             return;
         };
         self.joining.is_listing = true;
+        self.ask_list(context, address);
+    }
+
+    fn ask_list(&mut self, context: &mut Context<'_>, address: SocketAddr) {
         let message = Message::List {
             from: self.own.clone(),
             after: self.joining.after,
@@ -222,7 +259,7 @@
         self.answer(context, inbound, Message::Members { members, has_more });
     }
 
-    fn platform_timeout_us(&self) -> u64 {
+    pub(super) fn platform_timeout_us(&self) -> u64 {
         u64::from(self.settings.platform_timeout_ms) * 1_000
     }
 }
--- a/src/membership/service/probing.rs
+++ b/src/membership/service/probing.rs
@@ -156,6 +156,12 @@
             (Ask::ProbeGone, Ok(Message::Alive { gossip })) => {
                 self.absorb(context, gossip);
             }
+            (Ask::ProbeRow(id), Ok(Message::Alive { gossip })) => {
+                let from = gossip.from;
+                self.absorb(context, gossip);
+                self.row_answered(context, id, from);
+            }
+            (Ask::ProbeRow(id), _) => self.row_unreached(context, id),
             (Ask::Sync { to, parts_left }, Ok(message)) => {
                 self.synced(context, to, message, parts_left);
             }
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -90,3 +90,49 @@
     };
     assert!(cluster.runs_until(10 * SECOND_US, all_know));
 }
+
+#[test]
+fn a_tenth_replaced_within_a_minute_is_known_to_all() {
+    let mut cluster = Cluster::settled(100, 4);
+    for node in 0..10 {
+        cluster.network.notice(node, Notice::StopRequested);
+        cluster.run_for(SECOND_US / 10);
+        cluster.network.kill(node);
+        cluster.add();
+        cluster.run_for(6 * SECOND_US);
+    }
+    assert!(
+        cluster.settles_within(30 * SECOND_US),
+        "{}",
+        cluster.summary()
+    );
+}
+
+#[test]
+fn a_member_starts_beside_the_rows_of_a_lost_zone() {
+    let mut cluster = Cluster::settled(48, 4);
+    for node in 0..48 {
+        if cluster.zone(node) == 0 {
+            cluster.network.kill(node);
+        }
+    }
+    let new = cluster.add();
+    assert_eq!(cluster.zone(new), 0);
+    let finds_others = |cluster: &mut Cluster| cluster.membership(new).len() >= 37;
+    assert!(
+        cluster.runs_until(20 * SECOND_US, finds_others),
+        "{}",
+        cluster.summary()
+    );
+}
+
+#[test]
+fn rows_of_dead_members_are_deleted() {
+    let mut cluster = Cluster::settled(30, 3);
+    cluster.network.kill(4);
+    cluster.network.kill(5);
+    let are_deleted = |cluster: &mut Cluster| cluster.network.rows.len() == 28;
+    assert!(cluster.runs_until(400 * SECOND_US, are_deleted));
+    cluster.run_for(400 * SECOND_US);
+    assert_eq!(cluster.network.rows.len(), 28);
+}
