Prove the retry bound over call chains 19 deep

Cause: the allowance was proved alone, not over whole nodes whose targets call on. Change: fake targets make calls of their own; chains of 1 to 19 services with 4 guards each whose answers are lost at the end or at every depth. Conclusion: the bound holds under lost answers; killed daemons and parallel children are still to come.

--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -1,15 +1,22 @@
 //! Whole calls over whole nodes, under virtual time.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
 #[path = "support/network.rs"]
 mod network;
 #[path = "support/nodes.rs"]
 mod nodes;
 
+use std::cell::Cell;
+use std::rc::Rc;
+
 use dragonflylug::kernel::{CallReply, TargetOutcome};
+use dragonflylug::metrics::{Counter, RetryReason};
 use dragonflylug::request::{Answer, RunKey};
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
-use network::Network;
+use network::{ChildCall, Network};
 use nodes::{NodePlan, SETTLE_US, add_node, exchange, request};
 
 /// One entry node without a target and two guards of one service, in two zones.
@@ -102,3 +109,134 @@
         assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
     }
 }
+
+/// A chain of services below an entry node.
+fn chain(depth: u16, guards: u16, retries: u32, names_parent: bool) -> Network {
+    let mut network = Network::new(500);
+    let mut settings = Settings::default();
+    settings.entry.retries = retries;
+    let entry = NodePlan {
+        number: 1,
+        zone: "a",
+        service: None,
+        slots: 0,
+    };
+    add_node(&mut network, &settings, &entry);
+    for number in 0..depth * guards {
+        let level = number / guards;
+        let service = format!("level-{level}");
+        let service = Some(service.as_str());
+        let plan = NodePlan {
+            number: 2 + number,
+            zone: "a",
+            service,
+            slots: 16,
+        };
+        let node = add_node(&mut network, &settings, &plan);
+        if level + 1 < depth {
+            let next = format!("level-{}", level + 1);
+            let request = request(&next, "GET", "/");
+            network.nodes[node].children = vec![ChildCall {
+                request,
+                names_parent,
+            }];
+        }
+    }
+    network.run_until(SETTLE_US + 5_000_000);
+    network
+}
+
+#[test]
+fn a_call_passes_through_19_services() {
+    let mut network = chain(19, 1, 3, true);
+    let reply = exchange(&mut network, 0, 1, request("level-0", "GET", "/"));
+    assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
+    assert_eq!(runs(&network), 19);
+}
+
+/// How a chain of services fails, and what its callers do.
+struct RetryCase {
+    depth: u16,
+    guards: u16,
+    retries: u32,
+    names_parent: bool,
+    /// The runs of a root request at the failing service, at most.
+    runs_max: usize,
+    runs_min: usize,
+}
+
+/// The last service of the chain loses each answer; counts the runs there for one root request.
+fn check_retries(case: RetryCase) {
+    let mut network = chain(case.depth, case.guards, case.retries, case.names_parent);
+    let first = network.nodes.len() - usize::from(case.guards);
+    for node in first..network.nodes.len() {
+        network.nodes[node].target = Box::new(|_, _| (TargetOutcome::Lost, 1_000));
+    }
+    let reply = exchange(&mut network, 0, 1, request("level-0", "GET", "/"));
+    assert!(
+        !matches!(&reply.verdict, Verdict::Ran(answer) if answer.status < 500),
+        "{reply:?}"
+    );
+    let further = network.counted(Counter::retried(RetryReason::ConnectionLost));
+    assert!(
+        further <= u64::from(case.retries),
+        "{further} further tries"
+    );
+    let mut runs = 0;
+    for node in &network.nodes[first..] {
+        runs += node.runs.len();
+    }
+    assert!(runs <= case.runs_max, "{runs} runs");
+    assert!(runs >= case.runs_min, "{runs} runs");
+}
+
+cases! { check_retries:
+    one_service_that_loses_answers => RetryCase {
+        depth: 1, guards: 4, retries: 3, names_parent: true, runs_max: 4, runs_min: 4,
+    },
+    five_services => RetryCase {
+        depth: 5, guards: 4, retries: 3, names_parent: true, runs_max: 4, runs_min: 2,
+    },
+    nineteen_services => RetryCase {
+        depth: 19, guards: 4, retries: 3, names_parent: true, runs_max: 4, runs_min: 1,
+    },
+    nineteen_services_with_seven_retries => RetryCase {
+        depth: 19, guards: 4, retries: 7, names_parent: true, runs_max: 8, runs_min: 1,
+    },
+    children_that_name_no_parent_get_no_retries => RetryCase {
+        depth: 5, guards: 4, retries: 3, names_parent: false, runs_max: 1, runs_min: 1,
+    },
+    no_retries_at_all => RetryCase {
+        depth: 5, guards: 4, retries: 0, names_parent: true, runs_max: 1, runs_min: 1,
+    },
+}
+
+/// Each service of a deep chain loses every third answer; each root keeps to its allowance.
+#[test]
+fn losses_at_every_depth_share_one_allowance() {
+    let retries = 3;
+    let mut network = chain(9, 4, retries, true);
+    let seen = Rc::new(Cell::new(0_u64));
+    for node in 1..network.nodes.len() {
+        let seen = seen.clone();
+        network.nodes[node].target = Box::new(move |_, _| {
+            seen.set(seen.get() + 1);
+            match seen.get() % 3 {
+                0 => (TargetOutcome::Lost, 1_000),
+                _ => (TargetOutcome::Answered(network::ok_answer()), 1_000),
+            }
+        });
+    }
+    let mut before = 0;
+    for key in 1..40 {
+        exchange(&mut network, 0, key, request("level-0", "GET", "/"));
+        let further = network.counted(Counter::retried(RetryReason::ConnectionLost));
+        assert!(
+            further - before <= u64::from(retries),
+            "{} further tries",
+            further - before
+        );
+        before = further;
+    }
+    assert!(before > 0);
+}
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -6,21 +6,42 @@
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
 
-use dragonflylug::ids::{AskKey, CallKey, InboundKey};
+use dragonflylug::headers;
+use dragonflylug::ids::{AskKey, CallKey, InboundKey, RequestId};
 use dragonflylug::kernel::{
     CallReply, Effect, Event, Input, Kernel, LinkError, Notice, StateChange, TargetOutcome,
 };
 use dragonflylug::metrics::Counter;
 use dragonflylug::operator::OperatorReply;
-use dragonflylug::request::{Answer, HttpRequest};
+use dragonflylug::request::{Answer, CallRequest, HttpRequest};
 use dragonflylug::sorted::SortedMap;
 use dragonflylug::table::{
     Expected, ObjectRequest, ObjectResponse, PlatformError, Row, TableRequest, TableResponse,
 };
+use dragonflylug::verdict::Verdict;
 
 /// What a fake target does with a request: the answer and the time it takes.
 pub type FakeTarget = Box<dyn FnMut(u64, &HttpRequest) -> (TargetOutcome, u64)>;
 
+/// A call that a fake target makes to another service before it answers.
+#[derive(Clone, Debug)]
+pub struct ChildCall {
+    pub request: CallRequest,
+    /// Whether the target names the request that it works on.
+    pub names_parent: bool,
+}
+
+/// A request at a fake target that makes calls of its own, one after the other.
+struct ChildRun {
+    call: CallKey,
+    http: HttpRequest,
+    outcome: TargetOutcome,
+    next: usize,
+}
+
+/// The first key of the calls that fake targets make.
+const CHILD_KEYS: u64 = 1 << 40;
+
 /// One node of the network.
 pub struct Node {
     pub address: SocketAddr,
@@ -34,6 +55,8 @@
     pub counters: SortedMap<Counter, u64>,
     pub is_stopped: bool,
     pub runs: Vec<(u64, HttpRequest)>,
+    pub children: Vec<ChildCall>,
+    child_runs: SortedMap<CallKey, ChildRun>,
     inbound: SortedMap<InboundKey, (usize, AskKey)>,
     cancelled: Vec<CallKey>,
     wake_at_us: Option<u64>,
@@ -54,6 +77,7 @@
 }
 
 enum Delivery {
+    Child(Box<ChildRun>),
     Input(Box<Input>),
     Wake,
 }
@@ -134,6 +158,8 @@
             counters: SortedMap::default(),
             is_stopped: false,
             runs: Vec::new(),
+            children: Vec::new(),
+            child_runs: SortedMap::default(),
             inbound: SortedMap::default(),
             cancelled: Vec::new(),
             wake_at_us: None,
@@ -211,6 +237,7 @@
             return;
         }
         match scheduled.delivery {
+            Delivery::Child(run) => self.next_child(scheduled.node, *run),
             Delivery::Input(input) => self.deliver(scheduled.node, *input),
             Delivery::Wake => {
                 self.nodes[scheduled.node].wake_at_us = None;
@@ -328,6 +355,10 @@
             } => {
                 let now_us = self.now_us;
                 let (outcome, after_us) = (self.nodes[node].target)(now_us, &http);
+                if !self.nodes[node].children.is_empty() {
+                    self.start_children(node, call, http, outcome, after_us, timeout_us);
+                    return;
+                }
                 if outcome != TargetOutcome::NotSent {
                     self.nodes[node].runs.push((now_us, http));
                 }
@@ -341,6 +372,9 @@
                 self.input_after(after_us.min(timeout_us), node, input);
             }
             Effect::CancelTarget { call } => self.nodes[node].cancelled.push(call),
+            Effect::Reply { call, reply } if call.0 >= CHILD_KEYS => {
+                self.end_child(node, call, &reply);
+            }
             Effect::Reply { call, reply } => {
                 let now_us = self.now_us;
                 self.nodes[node].replies.push((now_us, call, *reply));
@@ -357,6 +391,73 @@
         }
     }
 
+    /// Runs a request whose target makes calls of its own after `after_us`.
+    fn start_children(
+        &mut self,
+        node: usize,
+        call: CallKey,
+        http: HttpRequest,
+        outcome: TargetOutcome,
+        after_us: u64,
+        timeout_us: u64,
+    ) {
+        self.nodes[node].runs.push((self.now_us, http.clone()));
+        let lost = Event::TargetAnswered {
+            call,
+            outcome: TargetOutcome::Lost,
+        };
+        let lost = Input::Event(dragonflylug::calls::NAME, lost);
+        self.input_after(timeout_us, node, lost);
+        let run = ChildRun {
+            call,
+            http,
+            outcome,
+            next: 0,
+        };
+        let at_us = self.now_us + after_us;
+        self.schedule(at_us, node, Delivery::Child(Box::new(run)));
+    }
+
+    /// Makes the next call of a fake target, or answers where all were made.
+    fn next_child(&mut self, node: usize, run: ChildRun) {
+        let Some(child) = self.nodes[node].children.get(run.next).cloned() else {
+            self.end_target(node, run.call, run.outcome);
+            return;
+        };
+        self.next_sequence += 1;
+        let key = CallKey(CHILD_KEYS + self.next_sequence);
+        let mut request = child.request;
+        request.is_from_target = true;
+        if child.names_parent {
+            request.parent = request_header(&run.http);
+        }
+        self.nodes[node].child_runs.insert(key, run);
+        let event = Event::CallArrived {
+            call: key,
+            request: Box::new(request),
+        };
+        self.deliver(node, Input::Event(dragonflylug::calls::entry::NAME, event));
+    }
+
+    fn end_child(&mut self, node: usize, key: CallKey, reply: &CallReply) {
+        let Some(mut run) = self.nodes[node].child_runs.remove(&key) else {
+            return;
+        };
+        let is_good = matches!(&reply.verdict, Verdict::Ran(answer) if answer.status < 500);
+        if !is_good {
+            let failed = Answer::new(503, Vec::new(), Default::default());
+            self.end_target(node, run.call, TargetOutcome::Answered(failed));
+            return;
+        }
+        run.next += 1;
+        self.schedule(self.now_us, node, Delivery::Child(Box::new(run)));
+    }
+
+    fn end_target(&mut self, node: usize, call: CallKey, outcome: TargetOutcome) {
+        let event = Event::TargetAnswered { call, outcome };
+        self.input_after(0, node, Input::Event(dragonflylug::calls::NAME, event));
+    }
+
     fn table(
         &mut self,
         request: TableRequest,
@@ -488,3 +589,12 @@
 pub fn ok_answer() -> Answer {
     Answer::new(200, Vec::new(), Default::default())
 }
+
+/// Returns the identifier under which a target got a request.
+fn request_header(http: &HttpRequest) -> Option<RequestId> {
+    let header = http
+        .headers
+        .iter()
+        .find(|header| header.name == headers::REQUEST)?;
+    headers::parse_request(&header.value)
+}
