Give the telling period its range; keep the fake network's functions short

Cause: the merge of membership brought a number without a range, which the settings test found; clippy counted seven arguments in the fake network. Change: a row in the table of bounds; the run of a target with child calls is handed over as one value. Measured: clippy is clean; the workspace's tests pass.

--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -72,6 +72,7 @@
     bound("membership.platform_timeout_ms", 10, 60_000),
     bound("membership.retry_max_ms", 100, 600_000),
     bound("membership.list_period_ms", 1, 60_000),
+    bound("membership.tell_period_ms", 10, 60_000),
     bound("membership.sync_period_ms", 100, 3_600_000),
     bound("membership.gone_memory_ms", 1_000, 86_400_000),
     bound("membership.gone_probe_ms", 100, 3_600_000),
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -356,7 +356,13 @@
                 let now_us = self.now_us;
                 let (outcome, after_us) = (self.nodes[node].target)(now_us, &http);
                 if !self.nodes[node].children.is_empty() {
-                    self.start_children(node, call, http, outcome, after_us, timeout_us);
+                    let run = ChildRun {
+                        call,
+                        http,
+                        outcome,
+                        next: 0,
+                    };
+                    self.start_children(node, run, after_us, timeout_us);
                     return;
                 }
                 if outcome != TargetOutcome::NotSent {
@@ -392,28 +398,14 @@
     }
 
     /// Runs a request whose target makes calls of its own after `after_us`.
-    fn start_children(
-        &mut self,
-        node: usize,
-        call: CallKey,
-        http: HttpRequest,
-        outcome: TargetOutcome,
-        after_us: u64,
-        timeout_us: u64,
-    ) {
-        self.nodes[node].runs.push((self.now_us, http.clone()));
+    fn start_children(&mut self, node: usize, run: ChildRun, after_us: u64, timeout_us: u64) {
+        self.nodes[node].runs.push((self.now_us, run.http.clone()));
         let lost = Event::TargetAnswered {
-            call,
+            call: run.call,
             outcome: TargetOutcome::Lost,
         };
         let lost = Input::Event(dragonflylug::calls::NAME, lost);
         self.input_after(timeout_us, node, lost);
-        let run = ChildRun {
-            call,
-            http,
-            outcome,
-            next: 0,
-        };
         let at_us = self.now_us + after_us;
         self.schedule(at_us, node, Delivery::Child(Box::new(run)));
     }
