Notice targets that are gone; fail together on a dead peer

Cause: a guard whose target died refused at once, which looked like a fast target: it drew load and retries. Questions to a dead peer waited for each other's attempt to connect, 500 ms each in turn. Ruled out: ejecting on each refusal (overload is no fault of the target). Change: refusals for want of a target count as not sent; a target that is silent for 5 s is told to all services, and its member row has no service; questions that waited for an attempt that failed fail with it; connections bound the slots; inputs from threads go through the runtime.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -364,8 +364,13 @@
     }
 
     fn handle(&mut self, context: &mut Context<'_>, event: Event) {
-        if let Event::Notice(Notice::TargetAnnounced(announcement)) = event {
-            self.set_slots(context.now_us(), announcement.slots);
+        let now_us = context.now_us();
+        match event {
+            Event::Notice(Notice::TargetAnnounced(announcement)) => {
+                self.set_slots(now_us, announcement.slots.min(announcement.connections));
+            }
+            Event::Notice(Notice::TargetSilent) => self.set_slots(now_us, 0),
+            _ => {}
         }
     }
 }
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -320,9 +320,7 @@
         let is_claim = matches!(self.run_key, RunKey::Claim(_));
         match refusal.reason {
             RefusalReason::Unreachable => Some(RetryReason::Unreachable),
-            RefusalReason::Leaving | RefusalReason::TargetNotReady | RefusalReason::NoTarget => {
-                Some(RetryReason::Refused)
-            }
+            reason if reason.is_without_target() => Some(RetryReason::Refused),
             _ if is_claim => None,
             _ => Some(RetryReason::Refused),
         }
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -13,7 +13,7 @@
 use crate::derives::settings;
 use crate::headers;
 use crate::ids::{CallKey, InboundKey, RequestId};
-use crate::kernel::{Context, Effect, Event, Notice, Service, TargetOutcome};
+use crate::kernel::{Context, Effect, Event, Notice, Service, StateChange, TargetOutcome};
 use crate::membership::{self, Membership};
 use crate::peer::PeerQuestion;
 use crate::request::{Header, HttpRequest, PeerCall, Rank, RunKey};
@@ -426,6 +426,10 @@
     fn hear(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(announcement) => self.target = Some(announcement),
+            Notice::TargetSilent => {
+                self.target = None;
+                context.log(StateChange::new("guard", "the target is silent", ""));
+            }
             Notice::StopRequested => {
                 let linger_us = u64::from(self.settings.stop_linger_ms) * 1_000;
                 self.drain.start(context.now_us() + linger_us);
--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -41,7 +41,7 @@
             Notice::MemberGone(id) => self.roster.forget(id),
             Notice::StopRequested => self.is_stopping = true,
             Notice::Woke { .. } => self.woke(context),
-            Notice::ConfigChanged(_) | Notice::TargetAnnounced(_) => {}
+            Notice::ConfigChanged(_) | Notice::TargetAnnounced(_) | Notice::TargetSilent => {}
         }
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -163,8 +163,8 @@
         let Some(runtime) = self.runtime.get() else {
             return;
         };
-        let _entered = runtime.enter();
-        self.submit(input);
+        let node = Arc::clone(self);
+        runtime.spawn(async move { node.submit(input) });
     }
 
     /// Reads the node's services.
--- a/src/host/caller.rs
+++ b/src/host/caller.rs
@@ -29,6 +29,9 @@
 /// The wait before the listener accepts again after an error.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
+/// The time between two looks whether the target still announces itself.
+const TARGET_LOOK_PERIOD: Duration = Duration::from_secs(1);
+
 /// What a listener bounds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -83,6 +86,19 @@
         }
     }
 
+    /// Tells the node when the target stops announcing itself, until the task is ended.
+    pub async fn watch_target(self: Arc<Self>) {
+        let Some(target) = &self.target else {
+            return;
+        };
+        loop {
+            tokio::time::sleep(TARGET_LOOK_PERIOD).await;
+            if target.forget_silent() {
+                self.node.submit(Input::Notice(Notice::TargetSilent));
+            }
+        }
+    }
+
     async fn serve_connection(self: Arc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
         let host = Arc::clone(&self);
         let service = service_fn(move |request| {
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -87,6 +87,7 @@
         let tasks = vec![
             tokio::spawn(Arc::clone(&callers).serve(caller)).abort_handle(),
             tokio::spawn(Arc::clone(&targets).serve(announce)).abort_handle(),
+            tokio::spawn(Arc::clone(&targets).watch_target()).abort_handle(),
             tokio::spawn(peers).abort_handle(),
         ];
         node.start();
--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -23,11 +23,19 @@
 pub(super) struct Link {
     to: SocketAddr,
     limits: PeerLimits,
-    connection: AsyncMutex<Option<Connection>>,
+    state: AsyncMutex<LinkState>,
     used: Mutex<Instant>,
     waiting: AtomicUsize,
 }
 
+/// What a link keeps between questions.
+#[derive(Default)]
+struct LinkState {
+    connection: Option<Connection>,
+    /// When the last attempt to connect failed.
+    failed: Option<Instant>,
+}
+
 /// One connection of a link.
 #[derive(Clone)]
 struct Connection {
@@ -43,7 +51,7 @@
         Self {
             to,
             limits,
-            connection: AsyncMutex::new(None),
+            state: AsyncMutex::default(),
             used: Mutex::new(Instant::now()),
             waiting: AtomicUsize::new(0),
         }
@@ -161,20 +169,27 @@
     }
 
     /// Returns the present connection, or makes one.
+    ///
+    /// Questions that waited for an attempt that failed fail with it.
     async fn connect(&self) -> Result<Connection, LinkError> {
-        let mut connection = self.connection.lock().await;
-        if let Some(present) = connection.as_ref()
+        let asked = Instant::now();
+        let mut state = self.state.lock().await;
+        if let Some(present) = state.connection.as_ref()
             && present.heard.borrow().is_some()
         {
             return Ok(present.clone());
         }
+        if state.failed.is_some_and(|failed| failed > asked) {
+            return Err(LinkError::NotSent);
+        }
         let connecting = TcpStream::connect(self.to);
-        let stream = match tokio::time::timeout(self.limits.connect_timeout, connecting).await {
-            Ok(Ok(stream)) => stream,
-            _ => return Err(LinkError::NotSent),
+        let connected = tokio::time::timeout(self.limits.connect_timeout, connecting).await;
+        let Ok(Ok(stream)) = connected else {
+            state.failed = Some(Instant::now());
+            return Err(LinkError::NotSent);
         };
         let made = self.open(stream);
-        *connection = Some(made.clone());
+        state.connection = Some(made.clone());
         Ok(made)
     }
 
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -1,7 +1,7 @@
 //! The HTTP client towards the target beside the daemon.
 
 use std::sync::Mutex;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
@@ -19,10 +19,19 @@
 /// The time after which an idle connection to the target is closed.
 const IDLE: Duration = Duration::from_secs(30);
 
+/// The time without an announcement after which a target counts as lost.
+const SILENCE: Duration = Duration::from_secs(5);
+
+/// A target and when it announced itself last.
+struct HeardTarget {
+    announcement: Announcement,
+    heard: Instant,
+}
+
 /// A client with kept connections to one target.
 pub struct TargetClient {
     client: Client<HttpConnector, Full<Bytes>>,
-    target: Mutex<Option<Announcement>>,
+    target: Mutex<Option<HeardTarget>>,
 }
 
 impl Default for TargetClient {
@@ -44,13 +53,31 @@
     /// Notes an announcement; returns whether it says something new.
     pub fn announce(&self, announcement: Announcement) -> bool {
         let mut target = lock(&self.target);
-        let is_news = target.as_ref() != Some(&announcement);
-        *target = Some(announcement);
-        is_news
+        let is_known = target
+            .as_ref()
+            .is_some_and(|known| known.announcement == announcement);
+        let heard = Instant::now();
+        *target = Some(HeardTarget {
+            announcement,
+            heard,
+        });
+        !is_known
+    }
+
+    /// Forgets a target that stopped announcing itself; returns whether it did.
+    pub fn forget_silent(&self) -> bool {
+        let mut target = lock(&self.target);
+        let is_silent = target
+            .as_ref()
+            .is_some_and(|known| known.heard.elapsed() > SILENCE);
+        if is_silent {
+            *target = None;
+        }
+        is_silent
     }
 
     fn request(&self, http: HttpRequest) -> Option<Request<Full<Bytes>>> {
-        let address = lock(&self.target).as_ref()?.address;
+        let address = lock(&self.target).as_ref()?.announcement.address;
         let uri: Uri = format!("http://{address}{}", http.path).parse().ok()?;
         let mut builder = Request::builder().method(http.method.as_str()).uri(uri);
         for header in &http.headers {
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -116,6 +116,8 @@
     ConfigChanged(Arc<ConfigView>),
     /// The target beside the daemon announced itself or changed.
     TargetAnnounced(Announcement),
+    /// The target beside the daemon stopped announcing itself.
+    TargetSilent,
     /// A planned stop began: no new work is taken.
     StopRequested,
     /// The process was paused: timers and link states are suspect.
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -314,6 +314,15 @@
         }
     }
 
+    /// Tells others that no target is beside this daemon any more.
+    fn lost_target(&mut self, context: &mut Context<'_>) {
+        if self.own.service.take().is_none() {
+            return;
+        }
+        self.own.slots = 0;
+        self.announce(context);
+    }
+
     fn stop(&mut self, context: &mut Context<'_>) {
         if self.is_stopping {
             return;
@@ -443,6 +452,7 @@
     fn on_notice(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(target) => self.announced_target(context, target),
+            Notice::TargetSilent => self.lost_target(context),
             Notice::StopRequested => self.stop(context),
             Notice::Woke { .. } => self.wake(context),
             Notice::MemberChanged(_) | Notice::MemberGone(_) | Notice::ConfigChanged(_) => {}
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -287,6 +287,7 @@
         match verdict {
             Verdict::Ran(answer) if answer.status >= 500 => Self::TargetError,
             Verdict::Ran(_) => Self::Answered,
+            Verdict::NotRun(refusal) if refusal.reason.is_without_target() => Self::NotSent,
             Verdict::NotRun(_) => Self::Refused,
             Verdict::MayHaveRun(_) => Self::Lost,
         }
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -121,6 +121,13 @@
     }
 }
 
+impl RefusalReason {
+    /// Says whether the guard has no target that could take any request.
+    pub fn is_without_target(self) -> bool {
+        matches!(self, Self::Leaving | Self::TargetNotReady | Self::NoTarget)
+    }
+}
+
 impl Verdict {
     /// Makes a refusal that another target would repeat.
     pub fn not_run(reason: RefusalReason, retry_after_ms: u32) -> Self {
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -11,13 +11,13 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use dragonflylug::kernel::{CallReply, TargetOutcome};
+use dragonflylug::kernel::{CallReply, Notice, TargetOutcome};
 use dragonflylug::metrics::{Counter, RetryReason};
 use dragonflylug::request::{Answer, RunKey};
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 use network::{ChildCall, Network};
-use nodes::{NodePlan, SETTLE_US, add_node, exchange, request};
+use nodes::{NodePlan, SETTLE_US, add_node, announcement, exchange, request};
 
 /// One entry node without a target and two guards of one service, in two zones.
 fn two_guards() -> Network {
@@ -240,3 +240,35 @@
     }
     assert!(before > 0);
 }
+
+/// A target that stopped announcing itself is known to have gone, and comes back.
+#[test]
+fn a_silent_target_gets_no_more_calls_until_it_announces_itself() {
+    let mut network = two_guards();
+    network.notice(1, Notice::TargetSilent);
+    network.run_until(network.now_us + SETTLE_US);
+    for key in 1..20 {
+        let reply = exchange(&mut network, 0, key, request("lookups", "GET", "/free"));
+        assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
+    }
+    assert_eq!(network.nodes[1].runs.len(), 0);
+    network.notice(1, Notice::TargetAnnounced(announcement("lookups", 4)));
+    network.run_until(network.now_us + SETTLE_US);
+    for key in 20..60 {
+        exchange(&mut network, 0, key, request("lookups", "GET", "/free"));
+    }
+    assert!(!network.nodes[1].runs.is_empty());
+}
+
+/// A target that refuses connections gets few tries, and no call is lost by it.
+#[test]
+fn a_target_that_refuses_connections_attracts_no_load() {
+    let mut network = two_guards();
+    network.nodes[1].target = Box::new(|_, _| (TargetOutcome::NotSent, 100));
+    for key in 1..100 {
+        let reply = exchange(&mut network, 0, key, request("lookups", "GET", "/free"));
+        assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
+    }
+    let further = network.counted(Counter::retried(RetryReason::Refused));
+    assert!(further < 30, "{further} further tries");
+}
