Add the target stand-in: slots, faults, child calls and a log of what ran

Cause: the path needs a target whose own log says what truly ran. Ruled out: tiny_http under it: it can't see a caller that hangs up, so no run could be noted as cancelled.

--- a/standins/src/lib.rs
+++ b/standins/src/lib.rs
@@ -2,3 +2,4 @@
 
 pub mod platform;
 pub mod relay;
+pub mod target;
--- /dev/null
+++ b/standins/src/target/announce.rs
@@ -0,0 +1,53 @@
+//! Announcements of a target to the daemon beside it.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http_body_util::{BodyExt, Full};
+use hyper::Request;
+use serde::Serialize;
+
+use super::state::State;
+
+/// The body of an announcement.
+#[derive(Serialize)]
+struct Announcement<'a> {
+    service: &'a str,
+    address: SocketAddr,
+    slots: u32,
+    connections: u32,
+    is_draining: bool,
+}
+
+/// Announces the target at once, after each period and whenever something changes.
+pub(super) async fn run(daemon: SocketAddr, address: SocketAddr, state: Arc<State>) {
+    let period = Duration::from_millis(state.config.announce_period_ms);
+    loop {
+        let changed = state.announcement_changed.notified();
+        let _ = tokio::time::timeout(period, announce(daemon, address, &state)).await;
+        let _ = tokio::time::timeout(period, changed).await;
+    }
+}
+
+async fn announce(daemon: SocketAddr, address: SocketAddr, state: &State) {
+    let announcement = Announcement {
+        service: &state.config.service,
+        address,
+        slots: state.config.slots,
+        connections: state.config.connections,
+        is_draining: state.is_draining(),
+    };
+    let Ok(body) = serde_json::to_vec(&announcement) else {
+        return;
+    };
+    let request = Request::post(format!("http://{daemon}/announce"))
+        .header("content-type", "application/json")
+        .body(Full::new(Bytes::from(body)));
+    let Ok(request) = request else { return };
+    let Ok(response) = state.client.request(request).await else {
+        return;
+    };
+    let _ = response.into_body().collect().await;
+}
--- /dev/null
+++ b/standins/src/target/state.rs
@@ -0,0 +1,147 @@
+//! What the connections of a target share.
+
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
+
+use rand::{RngExt, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::{Notify, OwnedSemaphorePermit, Semaphore};
+
+use super::children::{DaemonClient, make_client};
+use super::config::{Behaviour, Distribution, TargetConfig};
+use super::log::{Run, RunLog, RunState};
+
+/// What the connections of a target share.
+pub(super) struct State {
+    pub(super) config: TargetConfig,
+    pub(super) connections: Arc<Semaphore>,
+    pub(super) announcement_changed: Notify,
+    pub(super) client: DaemonClient,
+    slots: Arc<Semaphore>,
+    start: Instant,
+    inner: Mutex<Inner>,
+}
+
+struct Inner {
+    behaviour: Behaviour,
+    drain_start: Option<Instant>,
+    waiting: u32,
+    rng: ChaCha8Rng,
+    log: RunLog,
+}
+
+/// A place among the requests that wait for a slot.
+struct Waiting<'a>(&'a State);
+
+impl Drop for Waiting<'_> {
+    fn drop(&mut self) {
+        self.0.lock().waiting -= 1;
+    }
+}
+
+impl State {
+    pub(super) fn new(config: TargetConfig) -> Self {
+        let inner = Inner {
+            behaviour: config.behaviour.clone(),
+            drain_start: None,
+            waiting: 0,
+            rng: ChaCha8Rng::seed_from_u64(config.seed),
+            log: RunLog::default(),
+        };
+        Self {
+            connections: Arc::new(Semaphore::new(config.connections as usize)),
+            announcement_changed: Notify::new(),
+            client: make_client(),
+            slots: Arc::new(Semaphore::new(config.slots as usize)),
+            start: Instant::now(),
+            inner: Mutex::new(inner),
+            config,
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    pub(super) fn behaviour(&self) -> Behaviour {
+        self.lock().behaviour.clone()
+    }
+
+    pub(super) fn set_behaviour(&self, behaviour: Behaviour) {
+        self.lock().behaviour = behaviour;
+    }
+
+    pub(super) fn drain(&self) {
+        self.lock().drain_start.get_or_insert_with(Instant::now);
+        self.announcement_changed.notify_one();
+    }
+
+    pub(super) fn is_draining(&self) -> bool {
+        self.lock().drain_start.is_some()
+    }
+
+    pub(super) fn log(&self) -> RunLog {
+        self.lock().log.clone()
+    }
+
+    pub(super) fn refuse_connection(&self) {
+        self.lock().log.connections_refused += 1;
+    }
+
+    /// Waits for a slot; returns `None` where slots and backlog are full.
+    pub(super) async fn take_slot(&self) -> Option<OwnedSemaphorePermit> {
+        if let Ok(slot) = Arc::clone(&self.slots).try_acquire_owned() {
+            return Some(slot);
+        }
+        {
+            let mut inner = self.lock();
+            if inner.waiting >= self.config.backlog {
+                inner.log.refused += 1;
+                return None;
+            }
+            inner.waiting += 1;
+        }
+        let _waiting = Waiting(self);
+        Arc::clone(&self.slots).acquire_owned().await.ok()
+    }
+
+    /// Notes the start of a run and returns its place in the log.
+    pub(super) fn start_run(&self, mut run: Run) -> usize {
+        run.started_us = micros(self.start.elapsed());
+        let mut inner = self.lock();
+        run.after_drain_us = inner.drain_start.map(|start| micros(start.elapsed()));
+        inner.log.runs.push(run);
+        inner.log.runs.len() - 1
+    }
+
+    /// Notes the end of a run.
+    pub(super) fn end_run(&self, at: usize, state: RunState, work: Duration) {
+        let run = &mut self.lock().log.runs[at];
+        run.state = state;
+        run.work_us = micros(work);
+    }
+
+    /// Draws the service time of one request around a mean.
+    pub(super) fn draw_service(&self, mean: Duration, distribution: Distribution) -> Duration {
+        let cold_start = Duration::from_millis(self.config.cold_start_ms);
+        let is_cold = self.start.elapsed() < cold_start;
+        let factor = if is_cold {
+            self.config.cold_factor
+        } else {
+            1.0
+        };
+        let share = match distribution {
+            Distribution::Fixed => 1.0,
+            Distribution::Exponential => {
+                let uniform: f64 = self.lock().rng.random();
+                -(1.0 - uniform).ln()
+            }
+        };
+        mean.mul_f64(factor.max(0.0) * share)
+    }
+}
+
+/// Returns a time in whole microseconds.
+pub(super) fn micros(time: Duration) -> u64 {
+    u64::try_from(time.as_micros()).unwrap_or(u64::MAX)
+}
