Add the caller library: tickets, the retry allowance and typed verdicts

Cause: callers need one place that keeps the request's identifier and allowance over repeats. Ruled out: repeating without a bound where no reply came: one marked repeat of an idempotent request, no more. Change: Client, Course (what follows a reply, without clock or socket), ticket stock, HTTP form. Not proved: a first try without any reply may spend one repeat beyond the policy's number.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod admission;
 pub mod calls;
 pub mod cli;
+pub mod client;
 pub mod config;
 pub mod headers;
 pub mod host;
