Name the field of a bad record or setting, also where JSON itself is at fault

Cause: an operator who left out or misspelt a field of a record got the JSON library's line and column, not the field. Change: fields::read finds the first field at fault against an example that holds each field; settings and submissions share it (Submission::read). Ruled out: a path-keeping deserializer, one more library for two callers.

--- a/src/config.rs
+++ b/src/config.rs
@@ -15,7 +15,6 @@
 mod submit;
 
 pub use message::Message;
-pub use record::FieldError;
 pub use schema::{RecordForm, SCHEMA_VERSION_MAX, SCHEMA_VERSION_MIN};
 pub use service::Config;
 pub use settings::ConfigSettings;
--- a/src/config/record.rs
+++ b/src/config/record.rs
@@ -1,10 +1,8 @@
 //! The rules of a record.
 
-use macro_rules_attribute::apply;
-
 use super::schema::{SCHEMA_VERSION_MAX, SCHEMA_VERSION_MIN};
 use super::{Policy, RequestKind, ServiceRecord};
-use crate::derives::message;
+use crate::fields::FieldError;
 
 /// The most kinds of request in a record.
 const KINDS_MAX: usize = 64;
@@ -26,33 +24,6 @@
     "*", "GET", "HEAD", "POST", "PUT", "PATCH", "DELETE", "OPTIONS",
 ];
 
-/// A field that is not allowed.
-#[apply(message!)]
-pub struct FieldError {
-    /// The field, as a path.
-    pub field: String,
-    /// What is wrong and what is allowed.
-    pub problem: String,
-}
-
-impl FieldError {
-    /// Makes an error of a field.
-    pub fn new(field: impl Into<String>, problem: impl Into<String>) -> Self {
-        Self {
-            field: field.into(),
-            problem: problem.into(),
-        }
-    }
-
-    /// Puts the path of the object that holds the field before it.
-    pub(super) fn within(self, parent: &str) -> Self {
-        Self {
-            field: format!("{parent}.{}", self.field),
-            problem: self.problem,
-        }
-    }
-}
-
 /// Refuses a field unless a condition holds.
 fn ensure(holds: bool, field: &str, problem: impl Into<String>) -> Result<(), FieldError> {
     if holds {
--- a/src/config/schema.rs
+++ b/src/config/schema.rs
@@ -4,8 +4,8 @@
 use serde_json::{Value, json};
 
 use super::ServiceRecord;
-use super::record::FieldError;
 use crate::derives::message;
+use crate::fields::FieldError;
 
 /// The oldest schema that is read and written.
 pub const SCHEMA_VERSION_MIN: u16 = 1;
--- a/src/config/submit.rs
+++ b/src/config/submit.rs
@@ -1,12 +1,14 @@
 //! An operator's submission: one transaction on the table, read back where its answer was lost.
 
+use serde_json::{Value, json};
 use xxhash_rust::xxh3::xxh3_64;
 
-use super::record::{FieldError, check_name};
+use super::record::check_name;
 use super::rows::{self, ChangeIdRow, ChangeRow, VersionRow};
 use super::schema::write_forms;
 use super::state::{Change, StoredRecord};
 use super::{Submission, SubmitOutcome};
+use crate::fields::{self, FieldError, TypesOnly};
 use crate::ids::{CallKey, ServiceName};
 use crate::table::{Expected, PlatformError, Row, TableRequest, TableResponse, TableWrite};
 
@@ -17,6 +19,13 @@
 const SUBMISSION_BYTES_MAX: usize = 256 * 1024;
 
 impl Submission {
+    /// Reads a submission that an operator wrote; a fault is told with the path of its field.
+    pub fn read(text: &str) -> Result<Self, FieldError> {
+        let given = serde_json::from_str(text)
+            .map_err(|error| FieldError::new("(whole text)", format!("not JSON: {error}")))?;
+        fields::read(given, &example(), &TypesOnly)
+    }
+
     /// Checks all records, of schemas up to `newest_schema`.
     pub fn check(&self, newest_schema: u16) -> Result<(), FieldError> {
         check_name("change_id", &self.change_id)?;
@@ -53,6 +62,30 @@
     }
 }
 
+/// Returns a submission that holds each field.
+fn example() -> Value {
+    json!({
+        "change_id": "2026-01-05-payouts",
+        "expected_version": 41,
+        "records": [{
+            "schema_version": 2,
+            "service": "payouts",
+            "kinds": [{
+                "method": "POST",
+                "path_prefix": "/payouts",
+                "policy": {
+                    "priority": "critical",
+                    "is_idempotent": false,
+                    "retries": 3,
+                    "deadline_ms": 2000,
+                    "hedge_after_ms": 0
+                }
+            }]
+        }],
+        "removed": ["receipts"]
+    })
+}
+
 fn note_service<'s>(
     services: &mut Vec<&'s ServiceName>,
     service: &'s ServiceName,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod calls;
 pub mod cli;
 pub mod config;
+pub mod fields;
 pub mod headers;
 pub mod host;
 pub mod ids;
