--- a/tests/config.rs
+++ b/tests/config.rs
@@ -8,12 +8,9 @@
 #[path = "support/network.rs"]
 mod network;
 
-use config::{CALLER, Caller, Cluster, record, submission};
-use dragonflylug::config::{Change, Config, ConfigSettings, Message, NAME, SubmitOutcome};
-use dragonflylug::ids::InboundKey;
+use config::{CALLER, Caller, Cluster, offer, record, stored_change, submission};
+use dragonflylug::config::{Change, Config, ConfigSettings, Message, SubmitOutcome};
 use dragonflylug::kernel::{Event, StateChange};
-use dragonflylug::peer::PeerQuestion;
-use dragonflylug::sorted::SortedMap;
 use network::PlatformFault;
 
 const SECOND_US: u64 = 1_000_000;
@@ -197,17 +194,18 @@
         let stale = cluster.network.rows.clone();
         cluster.submit_one(3, "c2", 1, 2);
         cluster.run(IN_FORCE_US);
-        let fresh = std::mem::replace(&mut cluster.network.rows, stale);
+        let fresh = cluster.network.rows.clone();
+        cluster.network.stale_rows = Some(stale);
         cluster.network.platform_fault = PlatformFault::Slow(400_000);
         let new = cluster.add();
         cluster.network.passes = Box::new(move |from, to| from != new && to != new);
         cluster.run(500_000);
         cluster.network.passes = Box::new(|_, _| true);
-        offer(cluster, new, Message::Push(vec![stored_change(&fresh, 1), stored_change(&fresh, 2)]));
+        offer(cluster, new, Message::Push(vec![stored_change(&fresh, 1).unwrap(), stored_change(&fresh, 2).unwrap()]));
         assert_eq!(cluster.version(new), 2);
         cluster.run(3 * SECOND_US);
         cluster.network.platform_fault = PlatformFault::None;
-        cluster.network.rows = fresh;
+        cluster.network.stale_rows = None;
         2
     },
     a_read_mixes_a_new_version_with_old_records => |cluster| {
@@ -216,23 +214,23 @@
         cluster.run(IN_FORCE_US);
         let version = cluster.network.rows.get(&"config/version".to_string()).unwrap();
         mixed.insert("config/version".into(), version.clone());
-        let fresh = std::mem::replace(&mut cluster.network.rows, mixed);
+        cluster.network.stale_rows = Some(mixed);
         let new = cluster.add();
         cluster.network.passes = Box::new(move |from, to| from != new && to != new);
         cluster.run(SECOND_US);
         assert_eq!(cluster.version(new), 0);
         cluster.network.passes = Box::new(|_, _| true);
-        cluster.network.rows = fresh;
+        cluster.network.stale_rows = None;
         2
     },
     reads_are_stale_for_a_while => |cluster| {
         let stale = cluster.network.rows.clone();
         cluster.submit_one(3, "c2", 1, 2);
         cluster.run(IN_FORCE_US);
-        let fresh = std::mem::replace(&mut cluster.network.rows, stale);
+        cluster.network.stale_rows = Some(stale);
         cluster.add();
         cluster.run(3 * SECOND_US);
-        cluster.network.rows = fresh;
+        cluster.network.stale_rows = None;
         2
     },
 }
@@ -247,21 +245,6 @@
     }
 }
 
-/// Returns an accepted change from the table's rows.
-fn stored_change(rows: &SortedMap<String, (u64, String)>, version: u64) -> Change {
-    let (_, text) = rows.get(&format!("config/change/{version:020}")).unwrap();
-    let row: serde_json::Value = serde_json::from_str(text).unwrap();
-    serde_json::from_value(row["change"].clone()).unwrap()
-}
-
-fn offer(cluster: &mut Cluster, node: usize, message: Message) {
-    let event = Event::Asked {
-        inbound: InboundKey(0),
-        question: PeerQuestion::Config(message),
-    };
-    cluster.network.event(node, NAME, event);
-}
-
 #[test]
 fn a_change_with_the_name_of_another_is_refused() {
     let mut cluster = Cluster::new(2);
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -5,13 +5,14 @@
 use std::net::SocketAddr;
 
 use dragonflylug::config::{
-    Config, ConfigSettings, ConfigView, NAME, Policy, RequestKind, ServiceRecord, Submission,
-    SubmitOutcome,
+    Change, Config, ConfigSettings, ConfigView, Message, NAME, Policy, RequestKind, ServiceRecord,
+    Submission, SubmitOutcome,
 };
-use dragonflylug::ids::{CallKey, MemberId, Priority};
+use dragonflylug::ids::{CallKey, InboundKey, MemberId, Priority};
 use dragonflylug::kernel::{Context, Event, Kernel, Notice, Service};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::operator::{OperatorReply, OperatorRequest};
+use dragonflylug::peer::PeerQuestion;
 use dragonflylug::sorted::SortedMap;
 
 use crate::network::Network;
@@ -257,6 +258,22 @@
     }
 }
 
+/// Returns an accepted change from the table's rows.
+pub fn stored_change(rows: &SortedMap<String, (u64, String)>, version: u64) -> Option<Change> {
+    let (_, text) = rows.get(&format!("config/change/{version:020}"))?;
+    let row: serde_json::Value = serde_json::from_str(text).unwrap();
+    Some(serde_json::from_value(row["change"].clone()).unwrap())
+}
+
+/// Hands a daemon a message that is in nobody's name.
+pub fn offer(cluster: &mut Cluster, node: usize, message: Message) {
+    let event = Event::Asked {
+        inbound: InboundKey(0),
+        question: PeerQuestion::Config(message),
+    };
+    cluster.network.event(node, NAME, event);
+}
+
 /// The name of [`Caller`].
 pub const CALLER: &str = "caller";
 
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -89,6 +89,8 @@
     pub passes: Box<dyn Fn(usize, usize) -> bool>,
     pub platform_fault: PlatformFault,
     pub rows: SortedMap<String, (u64, String)>,
+    /// The rows that reads see, where those are not the present ones.
+    pub stale_rows: Option<SortedMap<String, (u64, String)>>,
     pub objects: SortedMap<String, String>,
     pub table_reads: u64,
     pub table_writes: u64,
@@ -107,6 +109,7 @@
             passes: Box::new(|_, _| true),
             platform_fault: PlatformFault::None,
             rows: SortedMap::default(),
+            stale_rows: None,
             objects: SortedMap::default(),
             table_reads: 0,
             table_writes: 0,
@@ -381,8 +384,9 @@
         match request {
             TableRequest::Get { keys } => {
                 self.table_reads += 1;
+                let read = self.stale_rows.as_ref().unwrap_or(&self.rows);
                 let row = |key: &String| {
-                    let (version, value) = self.rows.get(key)?;
+                    let (version, value) = read.get(key)?;
                     Some(Row {
                         key: key.clone(),
                         version: *version,
@@ -398,7 +402,8 @@
             } => {
                 self.table_reads += 1;
                 let mut rows = Vec::new();
-                for (key, (version, value)) in self.rows.iter() {
+                let read = self.stale_rows.as_ref().unwrap_or(&self.rows);
+                for (key, (version, value)) in read.iter() {
                     if !key.starts_with(&prefix) || after.as_ref().is_some_and(|last| key <= last) {
                         continue;
                     }
