--- a/src/fields.rs
+++ b/src/fields.rs
@@ -63,7 +63,8 @@
     }
 }
 
-/// Reads a `T`. The example is a valid one that holds each field, and one element in each list.
+/// Reads a `T`. The example is a valid one that holds each field, null where it is optional, and
+/// one element in each list.
 pub fn read<T: DeserializeOwned>(
     given: Value,
     example: &Value,
@@ -149,7 +150,8 @@
     ) -> Result<(), FieldError> {
         let refuse = |problem| Err(FieldError::new(path, problem));
         let allowed = || self.rules.allowed(path);
-        if std::mem::discriminant(given) != std::mem::discriminant(known) {
+        let is_optional = known.is_null();
+        if !is_optional && std::mem::discriminant(given) != std::mem::discriminant(known) {
             let kind = allowed().unwrap_or_else(|| kind_of(known).to_string());
             return refuse(format!("must be {kind}"));
         }
@@ -175,7 +177,7 @@
 
 fn kind_of(value: &Value) -> &'static str {
     match value {
-        Value::Null => "null",
+        Value::Null => "left out",
         Value::Bool(_) => "true or false",
         Value::Number(_) => "a number",
         Value::String(_) => "a text",
--- a/src/membership/service/probing.rs
+++ b/src/membership/service/probing.rs
@@ -3,12 +3,18 @@
 use rand::RngExt;
 
 use super::{
-    Ask, InboundKey, MEMBERS_FAILED, MEMBERS_SUSPECTED, Member, MemberState, Membership, Message,
-    Prober, Tag, Update, describe,
+    Ask, Gossip, InboundKey, MEMBERS_FAILED, MEMBERS_SUSPECTED, Member, MemberState, Membership,
+    Message, Prober, Spread, Tag, Update, describe,
 };
 use crate::ids::MemberId;
 use crate::kernel::{Context, LinkError, StateChange};
 
+/// The members under suspicion that are probed again in one period.
+const SUSPECTS_PER_PERIOD: usize = 3;
+
+/// The times that news is told without waiting for the next probe.
+const TELLS_SOON: usize = 2;
+
 impl Membership {
     pub(super) fn probe(&mut self, context: &mut Context<'_>) {
         let period_us = u64::from(self.settings.probe_period_ms) * 1_000;
@@ -24,8 +30,10 @@
         if let Some(id) = self.prober.next(&self.roster, self.own.id) {
             self.probe_member(context, id);
         }
-        if let Some(id) = self.prober.next_suspect() {
-            self.probe_member(context, id);
+        for _ in 0..self.prober.suspects().min(SUSPECTS_PER_PERIOD) {
+            if let Some(id) = self.prober.next_suspect() {
+                self.probe_member(context, id);
+            }
         }
     }
 
@@ -34,7 +42,7 @@
             return;
         };
         let address = member.address;
-        let gossip = self.gossip(context, id);
+        let gossip = self.gossip(context, id, &[]);
         let message = Message::Probe { to: id, gossip };
         let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
         self.asks.insert(ask, Ask::Probe(id));
@@ -55,7 +63,7 @@
         if self.roster.at_address(address).is_some() {
             return;
         }
-        let gossip = self.gossip(context, id);
+        let gossip = self.gossip(context, id, &[]);
         let message = Message::Probe { to: id, gossip };
         let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
         self.asks.insert(ask, Ask::ProbeGone);
@@ -68,6 +76,29 @@
         }
     }
 
+    /// Makes sure that fresh news is told soon, with what else comes until then.
+    pub(super) fn tell_after_pause(&mut self, context: &mut Context<'_>) {
+        if self.tells_soon {
+            return;
+        }
+        self.tells_soon = true;
+        let most_us = u64::from(self.settings.tell_period_ms) * 1_000;
+        let after_us = context.rng().random_range(most_us / 2..=most_us);
+        self.timer(context, after_us, Tag::Tell);
+    }
+
+    /// Tells fresh news to one more member, while bytes are saved up.
+    pub(super) fn tell_soon(&mut self, context: &mut Context<'_>) {
+        self.tells_soon = false;
+        if !self.queue.has_news(TELLS_SOON) || !self.budget.is_half_full(context.now_us()) {
+            return;
+        }
+        if let Some(id) = self.prober.next(&self.roster, self.own.id) {
+            self.probe_member(context, id);
+        }
+        self.tell_after_pause(context);
+    }
+
     /// After a pause an answer may be late because this daemon was: nothing follows from it.
     pub(super) fn wake(&mut self, context: &mut Context<'_>) {
         let mut outdated = Vec::new();
@@ -94,10 +125,10 @@
         match message {
             Message::Probe { to, gossip } => {
                 let from = gossip.from;
-                self.absorb(context, gossip);
-                let mut gossip = self.gossip(context, from);
-                if to != self.own.id {
-                    gossip.updates.push(Update::Whole(self.own.clone()));
+                let heard = self.absorb(context, gossip);
+                let mut gossip = self.gossip(context, from, &heard);
+                if to != self.own.id || heard.contains(&self.own.id) {
+                    self.add_own(&mut gossip);
                 }
                 self.answer(context, inbound, Message::Alive { gossip });
             }
@@ -107,15 +138,36 @@
                 gossip,
             } => {
                 self.absorb(context, gossip);
-                let gossip = self.gossip(context, to);
+                let gossip = self.gossip(context, to, &[]);
                 let message = Message::Probe { to, gossip };
                 let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
                 self.asks.insert(ask, Ask::ForPeer(inbound));
             }
             Message::List { from, after } => self.answer_list(context, inbound, from, after),
-            Message::Alive { .. } | Message::Unreached | Message::Members { .. } => {
-                self.answer(context, inbound, Message::Unreached);
+            Message::Compare { range, hashes } => {
+                let answer = self.compare(context, range, &hashes);
+                self.answer(context, inbound, answer);
+            }
+            Message::Range { range, updates } => {
+                let updates = self.repair(context, range, updates);
+                self.answer(context, inbound, Message::Missed { updates });
+            }
+            Message::Missed { updates } => {
+                self.learn_missed(context, updates);
+                self.answer(context, inbound, Message::Same);
             }
+            Message::Alive { .. }
+            | Message::Unreached
+            | Message::Members { .. }
+            | Message::Same => self.answer(context, inbound, Message::Unreached),
+        }
+    }
+
+    /// Tells what this daemon says of itself to one that knew otherwise.
+    fn add_own(&self, gossip: &mut Gossip) {
+        let is_told = |update: &Update| update.id() == self.own.id;
+        if !gossip.updates.iter().any(is_told) {
+            gossip.updates.push(Update::Whole(self.own.clone()));
         }
     }
 
@@ -140,7 +192,18 @@
                 self.answer(context, inbound, Message::Alive { gossip });
             }
             (Ask::ForPeer(inbound), _) => self.answer(context, inbound, Message::Unreached),
-            (Ask::ProbeGone, Ok(Message::Alive { gossip })) => self.absorb(context, gossip),
+            (Ask::ProbeGone, Ok(Message::Alive { gossip })) => {
+                self.absorb(context, gossip);
+            }
+            (Ask::ProbeRow(id), Ok(Message::Alive { gossip })) => {
+                let from = gossip.from;
+                self.absorb(context, gossip);
+                self.row_answered(context, id, from);
+            }
+            (Ask::ProbeRow(id), _) => self.row_unreached(context, id),
+            (Ask::Sync { to, parts_left }, Ok(message)) => {
+                self.synced(context, to, message, parts_left);
+            }
             (Ask::List, result) => self.listed(context, result),
             _ => {}
         }
@@ -165,7 +228,7 @@
         }
         self.prober.begin_check(id, relays.len() as u32);
         for relay in relays {
-            let gossip = self.gossip(context, relay.id);
+            let gossip = self.gossip(context, relay.id, &[]);
             let message = Message::Relay {
                 to: id,
                 address,
@@ -197,7 +260,7 @@
         context.log(StateChange::new("member", "suspected", describe(&report)));
         if report.state == MemberState::Alive {
             report.state = MemberState::Suspect;
-            self.learn(context, report, true);
+            self.learn(context, report, Spread::Whole);
         }
     }
 }
--- a/src/membership/settings.rs
+++ b/src/membership/settings.rs
@@ -11,6 +11,8 @@
     pub probe_period_ms: u32,
     /// The time allowed for the answer to a direct probe.
     pub probe_timeout_ms: u32,
+    /// The greatest time that fresh news waits while bytes are saved up.
+    pub tell_period_ms: u32,
     /// The members asked to probe one that did not answer.
     pub relays: u32,
     /// The time between a suspicion and the member being taken for gone.
@@ -31,6 +33,8 @@
     pub retry_max_ms: u32,
     /// The time between two parts of the member list that a new daemon asks for.
     pub list_period_ms: u32,
+    /// The time between two comparisons of what is known with another member.
+    pub sync_period_ms: u32,
     /// How long a member that is gone is remembered.
     pub gone_memory_ms: u32,
     /// The time between two probes of members that are gone.
@@ -42,6 +46,7 @@
         Self {
             probe_period_ms: 1_000,
             probe_timeout_ms: 500,
+            tell_period_ms: 200,
             relays: 3,
             suspicion_ms: 4_000,
             gossip_bytes_per_s: 1_200,
@@ -52,6 +57,7 @@
             platform_timeout_ms: 2_000,
             retry_max_ms: 30_000,
             list_period_ms: 50,
+            sync_period_ms: 5_000,
             gone_memory_ms: 3_600_000,
             gone_probe_ms: 10_000,
         }
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -15,6 +15,7 @@
     ("caller_address", ADDRESS),
     ("operator_address", ADDRESS),
     ("peer_address", ADDRESS),
+    ("peer_advertised_address", ADDRESS),
     ("announce_address", ADDRESS),
     ("log.format", "\"text\" or \"json\""),
     ("log.level", "\"error\", \"warn\", \"info\" or \"debug\""),
