Release refused claims, ask their holder, and prove at most once under faults

Cause: a claim that was refused before it was sent kept its row, so its key was stuck once its daemon was replaced; a conflict in one transaction used up the attempts of the other claims in it; refusals pushed kept answers out of memory; one very large answer pushed out all others.

Change: the row of a refused claim is deleted (fenced by its version), in batches, after which any daemon may claim it; a daemon never runs by a row that it began to delete. Inserts that only another claim's conflict failed go out again by themselves. A refused ticket leaves only its number. Answers above kept_answer_bytes_max are not kept. ClaimDecided names the holder, which the tests ask.

--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -5,6 +5,7 @@
 //! request; it is never taken over.
 
 mod claim;
+mod queue;
 mod ranges;
 mod run;
 mod service;
--- a/src/run_once/claim.rs
+++ b/src/run_once/claim.rs
@@ -1,14 +1,11 @@
-//! Claims: their rows in the platform's table, and the requests that insert them.
+//! Claims: their rows in the platform's table, and how far each is.
 
-use std::collections::VecDeque;
 use std::net::SocketAddr;
 
 use macro_rules_attribute::apply;
 
-use super::run::RunSlot;
 use crate::derives::{message, value};
-use crate::ids::{AskKey, MemberId};
-use crate::sorted::SortedMap;
+use crate::ids::MemberId;
 use crate::table::{Expected, Row, TableWrite};
 
 /// The start of the keys of claim rows.
@@ -30,19 +27,25 @@
 /// The value of a claim's row.
 #[apply(message!)]
 pub(super) struct ClaimRow {
-    /// The number that tells this insert from every other.
+    /// The number that tells this insert from every other of its holder.
     pub(super) nonce: u64,
     /// The daemon that inserted the row and that alone may run the request.
     pub(super) holder: ClaimHolder,
 }
 
+/// A claim's row that this version can't read: its holder is not known.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) struct UnreadableRow;
+
 /// What is known of the row of a claim.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub(super) enum RowState {
-    /// No insert took effect yet, or none is known to.
+    /// No insert is known to have taken effect.
     Unknown,
-    /// The row is this daemon's.
-    Held,
+    /// The row is this daemon's, in this version.
+    Held(u64),
+    /// The row is being deleted in this version; this daemon never runs the request by it.
+    Releasing(u64),
 }
 
 /// How far the insert of a claim's row is.
@@ -55,15 +58,6 @@
     pub(super) is_asked: bool,
 }
 
-/// The claims that wait for the table, and those that it is asked for.
-#[derive(Debug, Default)]
-pub(super) struct ClaimQueue {
-    pub(super) waiting: VecDeque<RunSlot>,
-    pub(super) asked: SortedMap<AskKey, Vec<RunSlot>>,
-    /// The time until which the table counts as down.
-    pub(super) down_until_us: u64,
-}
-
 impl ClaimName {
     /// Makes the name of a caller's key.
     pub(super) fn new(key: &str) -> Self {
@@ -71,13 +65,28 @@
     }
 
     /// Returns the key of the claim's row.
-    pub(super) fn row_key(self) -> String {
+    fn row_key(self) -> String {
         format!("{ROW_PREFIX}{:032x}", self.0)
     }
+
+    /// Returns the write that deletes the row of a version.
+    pub(super) fn delete(self, version: u64) -> TableWrite {
+        TableWrite {
+            key: self.row_key(),
+            expected: Expected::Version(version),
+            value: None,
+        }
+    }
+
+    /// Finds the claim's row among those that stood in the way of a write.
+    pub(super) fn find(self, rows: &[Row]) -> Option<&Row> {
+        let key = self.row_key();
+        rows.iter().find(|row| row.key == key)
+    }
 }
 
 impl ClaimProgress {
-    /// Makes the progress of a claim that nobody asked the table for.
+    /// Makes the progress of a claim that the table was not asked for.
     pub(super) fn new(nonce: u64) -> Self {
         Self {
             nonce,
@@ -99,27 +108,8 @@
         }
     }
 
-    /// Finds the row of a claim among those that stood in the way; `None` where it is not there.
-    pub(super) fn find(rows: &[Row], name: ClaimName) -> Option<Result<Self, UnreadableRow>> {
-        let key = name.row_key();
-        for row in rows {
-            if row.key != key {
-                continue;
-            }
-            return Some(serde_json::from_str(&row.value).map_err(|_| UnreadableRow));
-        }
-        None
-    }
-}
-
-/// A claim's row that this version can't read: it is held by a daemon that is not known.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) struct UnreadableRow;
-
-impl ClaimQueue {
-    /// Takes the next claims for one request to the table.
-    pub(super) fn next_batch(&mut self, batch_max: usize) -> Vec<RunSlot> {
-        let count = batch_max.min(self.waiting.len());
-        self.waiting.drain(..count).collect()
+    /// Reads a row.
+    pub(super) fn read(row: &Row) -> Result<Self, UnreadableRow> {
+        serde_json::from_str(&row.value).map_err(|_| UnreadableRow)
     }
 }
--- a/src/run_once/run.rs
+++ b/src/run_once/run.rs
@@ -5,6 +5,7 @@
 use slotmap::{SlotMap, new_key_type};
 
 use super::claim::{ClaimName, ClaimProgress};
+use super::service::answer_bytes;
 use crate::ids::{CallKey, RequestId};
 use crate::sorted::SortedMap;
 use crate::verdict::{Refusal, Verdict};
@@ -108,17 +109,10 @@
     }
 
     fn bytes(&self) -> usize {
-        let answer_bytes = match &self.state {
-            RunState::Ended(Verdict::Ran(answer)) => {
-                let mut bytes = answer.body.len();
-                for header in &answer.headers {
-                    bytes += header.name.len() + header.value.len();
-                }
-                bytes
-            }
-            _ => 0,
-        };
-        RUN_BYTES + answer_bytes
+        match &self.state {
+            RunState::Ended(Verdict::Ran(answer)) => RUN_BYTES + answer_bytes(answer),
+            _ => RUN_BYTES,
+        }
     }
 }
 
--- a/src/run_once/service.rs
+++ b/src/run_once/service.rs
@@ -1,16 +1,19 @@
-//! The run-once service: the course of each run from its begin to its kept verdict.
+//! The run-once service: tickets issued and void, and what is kept of runs.
 
 mod claims;
+mod settle;
+mod table;
 
 use std::net::SocketAddr;
 
-use super::claim::{ClaimHolder, ClaimQueue};
+pub(super) use settle::answer_bytes;
+
+use super::claim::ClaimHolder;
+use super::queue::ClaimQueue;
 use super::run::{Run, RunName, RunSlot, RunState, Runs};
 use super::settings::RunOnceSettings;
 use super::ticket::{Standing, TicketBook};
-use super::{
-    Begin, ClaimDecided, NAME, Settled, Ticket, TicketBlock, VoidOutcome, VoidRequest, Voided,
-};
+use super::{Begin, ClaimDecided, NAME, Ticket, TicketBlock, VoidOutcome, VoidRequest, Voided};
 use crate::calls;
 use crate::ids::{CallKey, InboundKey, MemberId, RequestId};
 use crate::kernel::{Context, Event, Service};
@@ -101,110 +104,12 @@
                 self.runs.insert(run);
                 Begin::Run
             }
-            Standing::Void => Begin::Decided(Verdict::not_run(RefusalReason::TicketVoid, 0)),
+            Standing::Void => Begin::Decided(Verdict::NotRun(ticket_void())),
             Standing::Spent => Begin::Decided(Verdict::may_have_run(DoubtReason::AnswerDropped, 0)),
             Standing::NotIssued => Begin::Decided(Verdict::not_run(RefusalReason::BadRequest, 0)),
         }
     }
 
-    /// Notes that the request of a call is sent to the target now.
-    ///
-    /// Returns false where it may not be sent, because its ticket became void while it was queued.
-    #[must_use]
-    pub fn mark_sent(&mut self, call: CallKey) -> bool {
-        let Some(slot) = self.runs.of_call(call) else {
-            return false;
-        };
-        let Some(run) = self.runs.get_mut(slot) else {
-            return false;
-        };
-        if run.call != call || run.state != RunState::Queued {
-            return false;
-        }
-        run.state = RunState::Sent;
-        true
-    }
-
-    /// Refuses a call whose request was not sent to the target; its ticket is void from then on.
-    ///
-    /// A claim stays with this daemon, which runs it after all when the caller repeats it.
-    pub fn refuse(&mut self, call: CallKey, refusal: Refusal) -> Settled {
-        let Some(slot) = self.runs.of_call(call) else {
-            return Settled::alone(doubt(DoubtReason::AnswerDropped, refusal));
-        };
-        let Some(run) = self.runs.get(slot) else {
-            return Settled::alone(doubt(DoubtReason::AnswerDropped, refusal));
-        };
-        if run.call != call {
-            self.runs.leave(slot, call);
-            return Settled::alone(doubt(reason_of(refusal), refusal));
-        }
-        let verdict = match &run.state {
-            RunState::Ended(verdict) => verdict.clone(),
-            RunState::Sent => return Settled::alone(doubt(reason_of(refusal), refusal)),
-            RunState::Pending | RunState::Queued | RunState::Refused(_) => {
-                self.end_unsent(slot, refusal)
-            }
-        };
-        let waiting = self.runs.take_waiting(slot);
-        self.drop_over_bound();
-        Settled { verdict, waiting }
-    }
-
-    /// Keeps the verdict of a call that was sent to the target, and returns what is kept.
-    ///
-    /// A whole answer that comes after a doubt takes its place. `NotRun` is for a host that knows
-    /// that no byte was sent.
-    pub fn complete(&mut self, now_us: u64, call: CallKey, verdict: Verdict) -> Settled {
-        self.sweep(now_us);
-        let verdict = whole_or_doubt(verdict);
-        let Some(slot) = self.runs.of_call(call) else {
-            return Settled::alone(verdict);
-        };
-        let Some(run) = self.runs.get(slot).filter(|run| run.call == call) else {
-            return Settled::alone(verdict);
-        };
-        let kept = match (&run.state, verdict) {
-            (RunState::Ended(Verdict::MayHaveRun(_)), Verdict::Ran(answer)) => {
-                self.end(slot, Verdict::Ran(answer))
-            }
-            (RunState::Ended(kept), _) => kept.clone(),
-            (_, Verdict::NotRun(refusal)) => self.end_unsent(slot, refusal),
-            (_, verdict) => self.end(slot, verdict),
-        };
-        let waiting = self.runs.take_waiting(slot);
-        self.drop_over_bound();
-        Settled {
-            verdict: kept,
-            waiting,
-        }
-    }
-
-    /// Forgets a call that joined a run; a run itself goes on without its caller.
-    pub fn abandon(&mut self, call: CallKey) {
-        let Some(slot) = self.runs.of_call(call) else {
-            return;
-        };
-        let is_runner = self.runs.get(slot).is_some_and(|run| run.call == call);
-        if !is_runner {
-            self.runs.leave(slot, call);
-        }
-    }
-
-    /// Makes the first call that joined a queued run the one that runs, in place of `call`.
-    ///
-    /// For a call whose caller went away or whose time passed; the returned call is to be admitted.
-    pub fn hand_over(&mut self, call: CallKey) -> Option<CallKey> {
-        let slot = self.runs.of_call(call)?;
-        let run = self.runs.get_mut(slot)?;
-        if run.call != call || run.state != RunState::Queued || run.waiting.is_empty() {
-            return None;
-        }
-        let next = run.waiting.remove(0);
-        self.runs.replace_call(slot, next);
-        Some(next)
-    }
-
     /// Makes a ticket void where its request was not sent to the target.
     pub fn void(&mut self, ticket: Ticket) -> Voided {
         if ticket.issuer != self.own.member {
@@ -213,23 +118,19 @@
         let Some(slot) = self.runs.find(RunName::Ticket(ticket.sequence)) else {
             return Voided::alone(self.void_unused(ticket.sequence));
         };
-        let Some(run) = self.runs.get(slot) else {
+        let Some(run) = self
+            .runs
+            .get(slot)
+            .filter(|run| run.state == RunState::Queued)
+        else {
             return Voided::alone(VoidOutcome::AlreadySent);
         };
-        match run.state {
-            RunState::Sent | RunState::Ended(_) => Voided::alone(VoidOutcome::AlreadySent),
-            RunState::Refused(_) => Voided::alone(VoidOutcome::Voided),
-            RunState::Pending | RunState::Queued => {
-                let mut cancelled = vec![run.call];
-                let refusal = ticket_void();
-                self.end_unsent(slot, refusal);
-                cancelled.extend(self.runs.take_waiting(slot));
-                self.drop_over_bound();
-                Voided {
-                    outcome: VoidOutcome::Voided,
-                    cancelled,
-                }
-            }
+        let mut cancelled = vec![run.call];
+        cancelled.extend(self.runs.take_waiting(slot));
+        self.end_unsent(slot, ticket_void());
+        Voided {
+            outcome: VoidOutcome::Voided,
+            cancelled,
         }
     }
 
@@ -243,6 +144,11 @@
         self.runs.len() + self.book.ranges()
     }
 
+    /// Says whether the table has no claim of this daemon left to insert or to release.
+    pub fn is_idle(&self) -> bool {
+        self.queue.is_empty()
+    }
+
     /// Answers a call whose run is in memory.
     fn rejoin(&mut self, slot: RunSlot, call: CallKey, request: RequestId) -> Begin {
         let joined_max = self.settings.joined_calls_max;
@@ -254,10 +160,7 @@
         }
         match &run.state {
             RunState::Ended(verdict) => Begin::Decided(verdict.clone()),
-            RunState::Refused(refusal) if run.claim.is_some() => {
-                Begin::Decided(Verdict::NotRun(*refusal))
-            }
-            RunState::Refused(_) => Begin::Decided(Verdict::NotRun(ticket_void())),
+            RunState::Refused(refusal) => Begin::Decided(Verdict::NotRun(*refusal)),
             _ if run.waiting.len() >= joined_max => {
                 Begin::Decided(Verdict::may_have_run(DoubtReason::ClaimHeld, 0))
             }
@@ -268,25 +171,6 @@
         }
     }
 
-    fn end(&mut self, slot: RunSlot, verdict: Verdict) -> Verdict {
-        let state = RunState::Ended(verdict.clone());
-        self.runs.end(slot, state, self.now_us);
-        verdict
-    }
-
-    /// Ends a run that was never sent, and returns the verdict for its calls.
-    fn end_unsent(&mut self, slot: RunSlot, refusal: Refusal) -> Verdict {
-        let state = RunState::Refused(refusal);
-        self.runs.end(slot, state, self.now_us);
-        let Some(run) = self.runs.get(slot) else {
-            return doubt(DoubtReason::AnswerDropped, refusal);
-        };
-        if run.claim.is_some() && !run.is_first_try {
-            return doubt(reason_of(refusal), refusal);
-        }
-        Verdict::NotRun(refusal)
-    }
-
     fn void_unused(&mut self, sequence: u64) -> VoidOutcome {
         match self.book.standing(sequence) {
             Standing::Open => {
@@ -322,30 +206,22 @@
         }
     }
 
-    /// Forgets an ended run; of a ticket only its standing stays.
+    /// Forgets an ended run; of a ticket it stays known that it was used.
     fn drop_run(&mut self, slot: RunSlot) {
-        let is_refused = matches!(
-            self.runs.get(slot).map(|run| &run.state),
-            Some(RunState::Refused(_))
-        );
         let Some(run) = self.runs.remove(slot) else {
             return;
         };
-        let RunName::Ticket(sequence) = run.name else {
-            return;
-        };
-        if is_refused {
-            self.book.set_void(sequence, &self.settings);
-            return;
+        if let RunName::Ticket(sequence) = run.name {
+            self.book.set_spent(sequence, &self.settings);
         }
-        self.book.set_spent(sequence, &self.settings);
     }
 
     fn asked(&mut self, context: &mut Context<'_>, inbound: InboundKey, question: &PeerQuestion) {
         match question {
             PeerQuestion::Tickets(request) => {
                 let block = self.issue(context.now_us(), request.count);
-                context.count_by(Counter::plain("tickets_issued"), block.tickets.len() as u64);
+                let count = block.tickets.len() as u64;
+                context.count_by(Counter::plain("tickets_issued"), count);
                 context.answer(inbound, PeerAnswer::Tickets(block));
             }
             PeerQuestion::Void(VoidRequest { ticket }) => {
@@ -373,6 +249,7 @@
             Event::Timer(CLAIMS_TAG) => self.ask_table(context),
             Event::Timer(_) => {
                 self.sweep(context.now_us());
+                self.ask_table(context);
                 context.timer(SWEEP_INTERVAL_US, SWEEP_TAG);
             }
             Event::Asked { inbound, question } => self.asked(context, inbound, &question),
@@ -382,16 +259,6 @@
     }
 }
 
-impl Settled {
-    /// Makes the end of a call that no other joined.
-    fn alone(verdict: Verdict) -> Self {
-        Self {
-            verdict,
-            waiting: Vec::new(),
-        }
-    }
-}
-
 impl Voided {
     fn alone(outcome: VoidOutcome) -> Self {
         Self {
@@ -431,29 +298,16 @@
     }
 }
 
-/// Why it is not known whether a request runs that was refused to one of its calls.
-fn reason_of(refusal: Refusal) -> DoubtReason {
-    match refusal.reason {
+/// The verdict of a refusal where another copy of the request may run.
+fn doubt(refusal: Refusal) -> Verdict {
+    let reason = match refusal.reason {
         RefusalReason::Deadline => DoubtReason::Deadline,
         RefusalReason::Cancelled => DoubtReason::Cancelled,
         RefusalReason::TableUnavailable => DoubtReason::TableUnavailable,
         _ => DoubtReason::ClaimHeld,
-    }
-}
-
-fn doubt(reason: DoubtReason, refusal: Refusal) -> Verdict {
+    };
     Verdict::MayHaveRun(Doubt {
         reason,
         retry_after_ms: refusal.retry_after_ms,
     })
 }
-
-/// An answer that was cut or altered counts as lost.
-fn whole_or_doubt(verdict: Verdict) -> Verdict {
-    match verdict {
-        Verdict::Ran(answer) if !answer.is_whole() => {
-            Verdict::may_have_run(DoubtReason::BrokenAnswer, 0)
-        }
-        verdict => verdict,
-    }
-}
--- a/src/run_once/settings.rs
+++ b/src/run_once/settings.rs
@@ -9,6 +9,8 @@
 pub struct RunOnceSettings {
     /// The memory for kept verdicts, in bytes.
     pub kept_answers_bytes_max: usize,
+    /// The largest answer that is kept, in bytes.
+    pub kept_answer_bytes_max: usize,
     /// The time that a verdict is kept for repeats.
     pub kept_answer_ttl_ms: u64,
     /// The number of latest tickets that may still be used.
@@ -39,6 +41,7 @@
     fn default() -> Self {
         Self {
             kept_answers_bytes_max: 16 * 1024 * 1024,
+            kept_answer_bytes_max: 1024 * 1024,
             kept_answer_ttl_ms: 600_000,
             open_tickets_max: 65_536,
             open_ticket_ttl_ms: 600_000,
