--- a/tests/support/runner.rs
+++ b/tests/support/runner.rs
@@ -260,6 +260,7 @@
         caller: "clerk".into(),
         request: Some(RequestId(1)),
         parent: None,
+        is_from_target: false,
         deadline_left_ms: None,
         retries_left: None,
         is_repeat: false,
