--- a/src/retry/allowance.rs
+++ b/src/retry/allowance.rs
@@ -33,6 +33,8 @@
     }
 
     /// Takes back tokens that a call below did not spend, up to what is out.
+    ///
+    /// For the first answer to a call only: what comes late or twice is to be dropped.
     pub fn give_back(&mut self, tokens: u32) {
         let returned = tokens.min(self.lent);
         self.lent -= returned;
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -2,6 +2,7 @@
 
 use std::collections::VecDeque;
 
+use super::Allowance;
 use crate::ids::RequestId;
 
 /// What a caller did in one window.
@@ -11,12 +12,11 @@
     charged: u32,
 }
 
-/// A request that was seen lately.
-#[derive(Clone, Copy, Debug)]
+/// A request that was seen lately, and the tokens of it that no try holds.
+#[derive(Debug)]
 struct Recent {
     request: RequestId,
-    /// The tokens that its last try left over; `None` while that try is under way.
-    left: Option<u32>,
+    allowance: Allowance,
     seen_us: u64,
 }
 
@@ -75,52 +75,50 @@
         bounds.window_us.saturating_sub(elapsed_us)
     }
 
-    /// Counts a retry of the caller.
+    /// Counts retries of the caller.
     pub(super) fn charge(&mut self, retries: u32) {
         self.current.charged = self.current.charged.saturating_add(retries);
     }
 
+    /// Takes back retries that were counted and not made.
+    pub(super) fn refund(&mut self, retries: u32) {
+        self.current.charged = self.current.charged.saturating_sub(retries);
+    }
+
     /// Counts a request that succeeded.
     pub(super) fn succeed(&mut self) {
         self.current.successes = self.current.successes.saturating_add(1);
     }
 
-    /// Says whether a request was seen lately, and the tokens that its last try left over.
-    pub(super) fn recognize(&self, request: RequestId) -> Option<u32> {
-        for recent in &self.recent {
+    /// Returns the tokens of a request that was seen lately.
+    pub(super) fn recognize(&mut self, request: RequestId) -> Option<&mut Allowance> {
+        for recent in self.recent.iter_mut().rev() {
             if recent.request == request {
-                return Some(recent.left.unwrap_or(0));
+                return Some(&mut recent.allowance);
             }
         }
         None
     }
 
-    /// Notes that a try of a request is under way: its tokens are out.
-    pub(super) fn open(&mut self, now_us: u64, request: RequestId, bounds: BudgetBounds) {
-        for recent in &mut self.recent {
-            if recent.request == request {
-                recent.left = None;
-                recent.seen_us = now_us;
-                return;
-            }
-        }
+    /// Remembers a request, all of whose tokens go to its try.
+    pub(super) fn remember(
+        &mut self,
+        now_us: u64,
+        request: RequestId,
+        tokens: u32,
+        bounds: BudgetBounds,
+    ) -> Allowance {
         while self.recent.len() >= bounds.requests_max {
             self.recent.pop_front();
         }
+        let mut allowance = Allowance::new(tokens);
+        let granted = allowance.hand_down(tokens);
         self.recent.push_back(Recent {
             request,
-            left: None,
+            allowance,
             seen_us: now_us,
         });
-    }
-
-    /// Notes the tokens that a try of a request left over.
-    pub(super) fn close(&mut self, request: RequestId, left: u32) {
-        for recent in &mut self.recent {
-            if recent.request == request {
-                recent.left = Some(left);
-            }
-        }
+        Allowance::new(granted)
     }
 
     fn forget(&mut self, now_us: u64, bounds: BudgetBounds) {
--- a/src/retry/ledger.rs
+++ b/src/retry/ledger.rs
@@ -63,8 +63,9 @@
 
     /// Grants the allowance of a request from outside the call graph, or refuses a repeat.
     ///
-    /// A first try gets `policy_retries`. A repeat gets what the caller `offered` of what its earlier
-    /// tries left over. A repeat without any left is refused once the caller's budget is spent.
+    /// A first try gets `policy_retries`. A repeat takes one token of what its earlier tries left
+    /// over, and gets what the caller `offered` of the rest. A repeat of a request without any left
+    /// is charged to the caller's budget, and refused once that is spent.
     #[expect(clippy::too_many_arguments)]
     pub fn open_root(
         &mut self,
@@ -78,25 +79,28 @@
         let bounds = self.bounds;
         let budget = self.budget(now_us, caller);
         let Some(request) = request else {
-            let fresh = if is_repeat { 0 } else { policy_retries };
-            let offered = offered.unwrap_or(fresh).min(policy_retries);
-            return budget.open_unnamed(now_us, offered, is_repeat, bounds);
+            return budget.open_unnamed(now_us, policy_retries, is_repeat, bounds);
         };
-        let known_left = budget.recognize(request);
-        if known_left.is_none() && !is_repeat {
-            budget.open(now_us, request, bounds);
-            return Ok(Allowance::new(
-                offered.unwrap_or(policy_retries).min(policy_retries),
-            ));
+        if let Some(allowance) = budget.recognize(request) {
+            if allowance.spend() {
+                let tokens = allowance.hand_down(offered.unwrap_or(0));
+                return Ok(Allowance::new(tokens));
+            }
+            return budget.open_beyond(now_us, bounds);
+        }
+        if !is_repeat {
+            let tokens = offered.unwrap_or(policy_retries).min(policy_retries);
+            return Ok(budget.remember(now_us, request, tokens, bounds));
         }
-        let left = known_left.unwrap_or(policy_retries);
-        let tokens = offered.unwrap_or(0).min(policy_retries).min(left);
-        if tokens == 0 && budget.left(now_us, bounds) == 0 {
-            return Err(budget.refusal(now_us, bounds));
+        let offered = offered.unwrap_or(0).min(policy_retries.saturating_sub(1));
+        if offered == 0 {
+            let opened = budget.open_beyond(now_us, bounds);
+            budget.remember(now_us, request, 0, bounds);
+            return opened;
         }
+        let left = budget.left(now_us, bounds);
         budget.charge(1);
-        budget.open(now_us, request, bounds);
-        Ok(Allowance::new(tokens))
+        Ok(budget.remember(now_us, request, offered.min(left), bounds))
     }
 
     /// Notes the end of a root request: the tokens that it left over, and whether it succeeded.
@@ -112,8 +116,12 @@
         if succeeded {
             budget.succeed();
         }
-        if let Some(request) = request {
-            budget.close(request, left);
+        let Some(request) = request else {
+            budget.refund(left);
+            return;
+        };
+        if let Some(allowance) = budget.recognize(request) {
+            allowance.give_back(left);
         }
     }
 
@@ -153,20 +161,29 @@
 }
 
 impl Budget {
-    /// Grants the allowance of a request without an identifier, within the budget.
+    /// Grants the allowance of a request without an identifier out of the budget.
     fn open_unnamed(
         &mut self,
         now_us: u64,
-        wanted: u32,
+        policy_retries: u32,
         is_repeat: bool,
         bounds: BudgetBounds,
     ) -> Result<Allowance, Refusal> {
-        let left = self.left(now_us, bounds);
-        if is_repeat && left == 0 && wanted == 0 {
+        if is_repeat {
+            return self.open_beyond(now_us, bounds);
+        }
+        let tokens = policy_retries.min(self.left(now_us, bounds));
+        self.charge(tokens);
+        Ok(Allowance::new(tokens))
+    }
+
+    /// Charges a repeat to the budget; it brings no tokens.
+    fn open_beyond(&mut self, now_us: u64, bounds: BudgetBounds) -> Result<Allowance, Refusal> {
+        if self.left(now_us, bounds) == 0 {
             return Err(self.refusal(now_us, bounds));
         }
-        self.charge(u32::from(is_repeat));
-        Ok(Allowance::new(wanted.min(left)))
+        self.charge(1);
+        Ok(Allowance::default())
     }
 
     fn refusal(&self, now_us: u64, bounds: BudgetBounds) -> Refusal {
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -48,6 +48,7 @@
     bound("retry.callers_max", 1, 1_000_000),
     bound("retry.requests_per_caller_max", 1, 100_000),
     bound("run_once.kept_answers_bytes_max", 65_536, 1_073_741_824),
+    bound("run_once.kept_answer_bytes_max", 1_024, 1_073_741_824),
     bound("run_once.kept_answer_ttl_ms", 1_000, 86_400_000),
     bound("run_once.open_tickets_max", 1, 16_777_216),
     bound("run_once.open_ticket_ttl_ms", 1_000, 86_400_000),
--- a/tests/retry.rs
+++ b/tests/retry.rs
@@ -50,23 +50,42 @@
     }
 }
 
+fn repeat(request: u64, offered: u32, expected_tokens: u32) -> Try {
+    Try {
+        request: Some(request),
+        offered: Some(offered),
+        is_repeat: true,
+        expected_tokens,
+    }
+}
+
+fn unnamed(expected_tokens: u32) -> Try {
+    Try {
+        request: None,
+        expected_tokens,
+        ..first(0)
+    }
+}
+
 cases! { check_tries:
     each_new_request_gets_its_tokens => &[first(1), first(2)],
-    a_marked_repeat_brings_what_is_left => &[
-        first(1),
-        Try { offered: Some(2), is_repeat: true, expected_tokens: 2, ..first(1) },
-        Try { offered: Some(2), is_repeat: true, expected_tokens: 1, ..first(1) },
-    ],
-    a_repeat_that_offers_too_much_gets_what_is_left => &[
+    a_repeat_spends_a_token_and_brings_the_rest => &[first(1), repeat(1, 1, 1), repeat(1, 9, 0)],
+    a_repeat_that_offers_too_much_gets_what_is_left => &[first(1), repeat(1, 9, 1)],
+    an_unmarked_repeat_is_recognized => &[
         first(1),
-        Try { offered: Some(9), is_repeat: true, expected_tokens: 2, ..first(1) },
+        Try { expected_tokens: 0, ..first(1) },
+        Try { expected_tokens: 0, ..first(1) },
     ],
-    an_unmarked_repeat_is_recognized => &[first(1), Try { expected_tokens: 0, ..first(1) }],
     a_marked_repeat_from_another_daemon_brings_no_fresh_tokens => &[
         Try { is_repeat: true, expected_tokens: 0, ..first(1) },
+        repeat(1, 9, 0),
     ],
+    a_marked_repeat_from_another_daemon_brings_what_it_offers => &[repeat(1, 1, 1)],
+    a_marked_repeat_from_another_daemon_never_brings_all_tokens => &[repeat(1, 9, 2)],
     a_request_without_a_name_is_granted_within_the_budget => &[
-        Try { request: None, ..first(1) },
+        unnamed(3), unnamed(3), unnamed(3), unnamed(3),
+        unnamed(3), unnamed(3), unnamed(3), unnamed(3),
+        unnamed(2), unnamed(1), unnamed(0),
     ],
 }
 
--- a/tests/support/runner.rs
+++ b/tests/support/runner.rs
@@ -112,6 +112,8 @@
             let reply = PeerReply {
                 verdict,
                 retries_unspent: 0,
+                is_failed_below: false,
+                holder: None,
                 load: LOAD,
                 config_version: 0,
             };
