--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -4,6 +4,7 @@
 
 use rand::{Rng, RngExt};
 
+use super::syncing::PARTS_PER_SYNC;
 use super::{Ask, InboundKey, Member, Membership, Message, Spread, Tag};
 use crate::ids::{AvailabilityZone, MemberId};
 use crate::kernel::{Context, LinkError, StateChange};
@@ -174,6 +175,16 @@
         }
     }
 
+    /// Daemons that start at once may have met others than this one did.
+    fn ask_unknown_contact(&mut self, context: &mut Context<'_>) {
+        while let Some(address) = self.joining.contacts.pop() {
+            if self.roster.at_address(address).is_none() {
+                self.merge(context, address);
+                return;
+            }
+        }
+    }
+
     /// Asks a daemon that was not known for its member list: the two did not know of each other.
     pub(super) fn merge(&mut self, context: &mut Context<'_>, address: SocketAddr) {
         if self.joining.is_listing {
@@ -224,8 +235,10 @@
             return;
         }
         self.joining.is_listing = false;
+        self.ask_unknown_contact(context);
         if !self.joining.is_joined {
             self.joining.is_joined = true;
+            self.compare_all(context, PARTS_PER_SYNC);
             self.backoff.reset();
             let detail = format!("members={}", self.roster.len());
             context.log(StateChange::new("membership", "joined", detail));
