--- /dev/null
+++ b/tests/run_once_nodes.rs
@@ -0,0 +1,366 @@
+//! Payments over whole nodes: callers that try again, under one kind of fault at a time.
+//!
+//! `cargo test --test run_once_nodes -- --nocapture` prints the table of docs/design/run-once.md.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+#[path = "support/network.rs"]
+mod network;
+#[path = "support/nodes.rs"]
+mod nodes;
+
+use dragonflylug::calls::entry;
+use dragonflylug::ids::{CallKey, MemberId, RequestId};
+use dragonflylug::kernel::{CallReply, Event, Notice, TargetOutcome};
+use dragonflylug::membership::{Member, MemberState};
+use dragonflylug::node::make_kernel;
+use dragonflylug::request::{ClaimKey, RunKey};
+use dragonflylug::settings::Settings;
+use dragonflylug::verdict::{RefusalReason, Verdict};
+use network::{Network, PlatformFault, ok_answer};
+use nodes::{SETTLE_US, address, announcement, call, reply, request};
+use rand::{Rng, SeedableRng};
+use rand_chacha::ChaCha8Rng;
+
+const SERVICE: &str = "payouts";
+const ENTRIES: usize = 2;
+const GUARDS: usize = 3;
+const PAYMENTS: usize = 200;
+/// The mean time between two payments.
+const PAYMENT_EVERY_US: u64 = 50_000;
+const TICK_US: u64 = 5_000;
+const DEADLINE_MS: u32 = 1_000;
+/// The time after which a caller takes its try for lost.
+const PATIENCE_US: u64 = 1_500_000;
+const RETRY_AFTER_US: u64 = 1_000_000;
+const TRIES_MAX: usize = 6;
+
+/// What goes wrong during a run.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Fault {
+    None,
+    GuardKilled,
+    GuardPaused,
+    EntryPaused,
+    SlowTarget,
+    TableDown,
+    TableSlow,
+    TableAnswerLost,
+    CutLink,
+    All,
+}
+
+/// How far a payment is.
+#[derive(Clone, Debug, PartialEq)]
+enum Stage {
+    Waiting {
+        until_us: u64,
+    },
+    Calling {
+        call: u64,
+        entry: usize,
+        sent_us: u64,
+    },
+    Ended(Verdict),
+}
+
+/// One payment of a caller that tries again with the same key.
+struct Payment {
+    stage: Stage,
+    run_key: RunKey,
+    is_ticketed: bool,
+    tries: usize,
+}
+
+/// How the payments of a run ended.
+#[derive(Clone, Copy, Debug, Default)]
+struct Tally {
+    ran: usize,
+    not_run: usize,
+    doubted_and_ran: usize,
+    doubted_and_not_run: usize,
+    runs: usize,
+}
+
+struct World {
+    net: Network,
+    guards: Vec<usize>,
+    payments: Vec<Payment>,
+    rng: ChaCha8Rng,
+    next_call: u64,
+    next_member: u64,
+    fault: Fault,
+    fault_ends_us: u64,
+}
+
+impl World {
+    fn new(fault: Fault, is_ticketed: bool, seed: u64) -> Self {
+        let mut world = Self {
+            net: Network::new(500),
+            guards: Vec::new(),
+            payments: Vec::new(),
+            rng: ChaCha8Rng::seed_from_u64(seed),
+            next_call: 0,
+            next_member: 0,
+            fault,
+            fault_ends_us: 0,
+        };
+        for number in 0..ENTRIES {
+            world.add(number as u16, false);
+        }
+        for number in ENTRIES..ENTRIES + GUARDS {
+            let guard = world.add(number as u16, true);
+            world.guards.push(guard);
+        }
+        world.net.run_until(SETTLE_US);
+        for at in 0..PAYMENTS {
+            let until_us = SETTLE_US + at as u64 * PAYMENT_EVERY_US;
+            world.payments.push(Payment {
+                stage: Stage::Waiting { until_us },
+                run_key: RunKey::None,
+                is_ticketed,
+                tries: 0,
+            });
+        }
+        world
+    }
+
+    fn below(&mut self, bound: u64) -> u64 {
+        self.rng.next_u64() % bound
+    }
+
+    fn add(&mut self, number: u16, has_target: bool) -> usize {
+        self.next_member += 1;
+        let settings = Settings::default();
+        let own = Member {
+            id: MemberId(1_000 + self.next_member),
+            address: address(number),
+            availability_zone: "a".into(),
+            service: None,
+            slots: 0,
+            state: MemberState::Alive,
+            incarnation: 0,
+            schema_version: settings.config.schema_version_max,
+        };
+        let kernel = make_kernel(&settings, own, self.next_member);
+        let node = self.net.add(address(number), kernel);
+        self.net.nodes[node].target =
+            Box::new(|_, _| (TargetOutcome::Answered(ok_answer()), 20_000));
+        if has_target {
+            let announced = Notice::TargetAnnounced(announcement(SERVICE, 8));
+            self.net.notice(node, announced);
+        }
+        node
+    }
+
+    /// Brings a fault about from time to time, and ends it.
+    fn disturb(&mut self) {
+        let now_us = self.net.now_us;
+        if now_us < self.fault_ends_us {
+            return;
+        }
+        self.net.platform_fault = PlatformFault::None;
+        self.net.passes = Box::new(|_, _| true);
+        let is_over = now_us > SETTLE_US + PAYMENTS as u64 * PAYMENT_EVERY_US;
+        if is_over || self.below(100) >= 3 {
+            return;
+        }
+        let for_us = 100_000 + self.below(1_900_000);
+        self.fault_ends_us = now_us + for_us;
+        let at = self.below(GUARDS as u64) as usize;
+        let guard = self.guards[at];
+        let kinds = [
+            Fault::GuardKilled,
+            Fault::GuardPaused,
+            Fault::EntryPaused,
+            Fault::SlowTarget,
+            Fault::TableDown,
+            Fault::TableSlow,
+            Fault::TableAnswerLost,
+            Fault::CutLink,
+        ];
+        let fault = match self.fault {
+            Fault::All => kinds[self.below(kinds.len() as u64) as usize],
+            fault => fault,
+        };
+        match fault {
+            Fault::None | Fault::All => {}
+            Fault::GuardKilled => {
+                self.net.kill(guard);
+                self.guards[at] = self.add((ENTRIES + at) as u16, true);
+            }
+            Fault::GuardPaused => self.net.pause(guard, now_us + for_us),
+            Fault::EntryPaused => self.net.pause(at % ENTRIES, now_us + for_us),
+            Fault::SlowTarget => {
+                self.net.nodes[guard].target = Box::new(move |at_us, _| {
+                    let rest_us = (now_us + for_us).saturating_sub(at_us);
+                    (TargetOutcome::Answered(ok_answer()), 20_000 + rest_us)
+                });
+            }
+            Fault::TableDown => self.net.platform_fault = PlatformFault::TableDown,
+            Fault::TableSlow => self.net.platform_fault = PlatformFault::Slow(for_us / 2),
+            Fault::TableAnswerLost => self.net.platform_fault = PlatformFault::AnswerLost,
+            Fault::CutLink => {
+                self.net.passes = Box::new(move |from, to| from != guard && to != guard)
+            }
+        }
+    }
+
+    fn start_try(&mut self, at: usize) {
+        self.next_call += 1;
+        let key = self.next_call;
+        let entry = self.below(ENTRIES as u64) as usize;
+        let payment = &mut self.payments[at];
+        if !payment.is_ticketed {
+            payment.run_key = RunKey::Claim(ClaimKey {
+                key: format!("payment {at}"),
+                is_first_try: payment.tries == 0,
+            });
+        }
+        let mut sent = request(SERVICE, "POST", &format!("/pay/{at}"));
+        sent.request = Some(RequestId(at as u64));
+        sent.run_key = payment.run_key.clone();
+        sent.is_repeat = payment.tries > 0;
+        sent.deadline_left_ms = Some(DEADLINE_MS);
+        payment.tries += 1;
+        payment.stage = Stage::Calling {
+            call: key,
+            entry,
+            sent_us: self.net.now_us,
+        };
+        call(&mut self.net, entry, key, sent);
+    }
+
+    fn hear(&mut self, at: usize, reply: CallReply) {
+        let now_us = self.net.now_us;
+        let payment = &mut self.payments[at];
+        if let Verdict::NotRun(refusal) = &reply.verdict
+            && payment.is_ticketed
+        {
+            payment.run_key = RunKey::None;
+            if refusal.reason == RefusalReason::TicketNeeded {
+                payment.run_key = RunKey::Ticket(reply.tickets[0]);
+                payment.tries -= 1;
+                payment.stage = Stage::Waiting { until_us: now_us };
+                return;
+            }
+        }
+        let is_over = matches!(reply.verdict, Verdict::Ran(_)) || payment.tries >= TRIES_MAX;
+        payment.stage = if is_over {
+            Stage::Ended(reply.verdict)
+        } else {
+            Stage::Waiting {
+                until_us: now_us + RETRY_AFTER_US,
+            }
+        };
+    }
+
+    fn step(&mut self, at: usize) {
+        let now_us = self.net.now_us;
+        match self.payments[at].stage.clone() {
+            Stage::Waiting { until_us } if until_us <= now_us => self.start_try(at),
+            Stage::Calling {
+                call,
+                entry,
+                sent_us,
+            } => {
+                if let Some(reply) = reply(&self.net, entry, call) {
+                    self.hear(at, reply);
+                } else if now_us > sent_us + PATIENCE_US {
+                    let gone = Event::CallerGone(CallKey(call));
+                    self.net.event(entry, entry::NAME, gone);
+                    let until_us = now_us;
+                    self.payments[at].stage = Stage::Waiting { until_us };
+                }
+            }
+            Stage::Waiting { .. } | Stage::Ended(_) => {}
+        }
+    }
+
+    fn run(&mut self) {
+        let until_us = self.net.now_us + PAYMENTS as u64 * PAYMENT_EVERY_US + 60_000_000;
+        while self.net.now_us < until_us {
+            self.disturb();
+            for at in 0..PAYMENTS {
+                self.step(at);
+            }
+            let is_over = |payment: &Payment| matches!(payment.stage, Stage::Ended(_));
+            if self.payments.iter().all(is_over) {
+                break;
+            }
+            self.net.run_until(self.net.now_us + TICK_US);
+        }
+        self.net.run_until(self.net.now_us + 5_000_000);
+    }
+
+    fn runs_of(&self, at: usize) -> usize {
+        let path = format!("/pay/{at}");
+        let mut runs = 0;
+        for node in &self.net.nodes {
+            runs += node
+                .runs
+                .iter()
+                .filter(|(_, http)| http.path == path)
+                .count();
+        }
+        runs
+    }
+
+    /// Holds each payment's verdict against what the targets ran.
+    fn tally(&self) -> Tally {
+        let mut tally = Tally::default();
+        for (at, payment) in self.payments.iter().enumerate() {
+            let runs = self.runs_of(at);
+            tally.runs += runs;
+            assert!(runs <= 1, "payment {at} ran {runs} times");
+            let Stage::Ended(verdict) = &payment.stage else {
+                panic!("payment {at} is {:?}", payment.stage);
+            };
+            match verdict {
+                Verdict::Ran(_) => {
+                    assert_eq!(runs, 1, "payment {at} did not run");
+                    tally.ran += 1;
+                }
+                Verdict::NotRun(refusal) => {
+                    assert_eq!(runs, 0, "payment {at} ran: {refusal:?}");
+                    tally.not_run += 1;
+                }
+                Verdict::MayHaveRun(_) if runs == 1 => tally.doubted_and_ran += 1,
+                Verdict::MayHaveRun(_) => tally.doubted_and_not_run += 1,
+            }
+        }
+        tally
+    }
+}
+
+fn check(fault: Fault) {
+    for is_ticketed in [true, false] {
+        let mut sum = Tally::default();
+        for seed in 0..5 {
+            let mut world = World::new(fault, is_ticketed, seed);
+            world.run();
+            let tally = world.tally();
+            sum.ran += tally.ran;
+            sum.not_run += tally.not_run;
+            sum.doubted_and_ran += tally.doubted_and_ran;
+            sum.doubted_and_not_run += tally.doubted_and_not_run;
+            sum.runs += tally.runs;
+        }
+        let kind = if is_ticketed { "ticket" } else { "claim" };
+        println!("{fault:?}, {kind}: {sum:?}");
+    }
+}
+
+cases! { check:
+    without_a_fault => Fault::None,
+    while_guards_are_killed => Fault::GuardKilled,
+    while_guards_are_paused => Fault::GuardPaused,
+    while_entries_are_paused => Fault::EntryPaused,
+    while_targets_are_slow => Fault::SlowTarget,
+    while_the_table_is_down => Fault::TableDown,
+    while_the_table_is_slow => Fault::TableSlow,
+    while_the_table_loses_answers => Fault::TableAnswerLost,
+    while_links_are_cut => Fault::CutLink,
+    under_all_faults_in_turn => Fault::All,
+}
