--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -163,7 +163,7 @@
         self.decide(context, key, verdict, reply.is_failed_below);
     }
 
-    /// Asks the daemon that holds the claim for the verdict; nothing runs twice by it.
+    /// Asks the daemon that holds the claim for the verdict, once; it is no further try.
     fn ask_holder(&mut self, context: &mut Context<'_>, key: CallKey, holder: ClaimHolder) -> bool {
         let Some(address) = holder.address else {
             return false;
@@ -171,7 +171,7 @@
         let Some(call) = self.calls.get_mut(&key) else {
             return false;
         };
-        if call.tried.contains(&holder.member) || !call.allowance.spend() {
+        if call.tried.contains(&holder.member) {
             return false;
         }
         context.count(Counter::retried(RetryReason::KeptAnswer));
@@ -253,12 +253,26 @@
             self.get_ticket(context, key);
             return;
         }
-        self.attempt_again(context, key, verdict);
+        self.attempt_again(context, key, reason, verdict);
     }
 
-    /// A further try that finds no target ends the call with the verdict of the try before.
-    fn attempt_again(&mut self, context: &mut Context<'_>, key: CallKey, verdict: Verdict) {
-        match self.choose(context, key) {
+    /// A further try goes to another target, or to the same one where only the link failed.
+    fn attempt_again(
+        &mut self,
+        context: &mut Context<'_>,
+        key: CallKey,
+        reason: RetryReason,
+        verdict: Verdict,
+    ) {
+        let mut choice = self.choose(context, key);
+        if choice.is_err()
+            && reason == RetryReason::ConnectionLost
+            && let Some(call) = self.calls.get_mut(&key)
+        {
+            call.tried.clear();
+            choice = self.choose(context, key);
+        }
+        match choice {
             Ok(choice) => self.send(context, key, choice),
             Err(_) => self.finish(context, key, verdict),
         }
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -35,6 +35,8 @@
 pub struct GuardSettings {
     /// The time after which a caller may try again where no better estimate is at hand.
     pub retry_after_ms: u32,
+    /// The time beyond its deadline for which the answer of a run-once request is waited for.
+    pub late_answer_ms: u32,
     /// The least time between the start of a planned stop and its end.
     pub stop_linger_ms: u32,
 }
@@ -43,6 +45,7 @@
     fn default() -> Self {
         Self {
             retry_after_ms: 500,
+            late_answer_ms: 30_000,
             stop_linger_ms: 2_000,
         }
     }
@@ -279,6 +282,12 @@
         let request = guard_call.call.request;
         let is_run_once = guard_call.call.run_key != RunKey::None;
         let http = with_context_headers(&guard_call.call, timeout_us);
+        let late_us = u64::from(self.settings.late_answer_ms) * 1_000;
+        let timeout_us = if is_run_once {
+            timeout_us + late_us
+        } else {
+            timeout_us
+        };
         if is_run_once && !mark_sent(context, key) {
             self.release(context, key, Ended::Cancelled);
             return;
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -29,6 +29,7 @@
     bound("entry.tickets_per_block", 1, 64),
     bound("entry.depth_max", 1, 255),
     bound("guard.retry_after_ms", 1, 60_000),
+    bound("guard.late_answer_ms", 0, 3_600_000),
     bound("guard.stop_linger_ms", 0, 600_000),
     bound("call_connections_max", 1, 100_000),
     bound("admission.queue_len_max", 1, 1_000_000),
