--- a/src/admission.rs
+++ b/src/admission.rs
@@ -165,7 +165,10 @@
         }
         if !self.can_finish(now_us, 0, arrival.deadline_us) {
             let refusal = self.refusal(now_us, RefusalReason::Deadline);
-            return Offer::refused(refusal);
+            return Offer::refused(Refusal {
+                is_elsewhere_worthwhile: false,
+                ..refusal
+            });
         }
         if self.has_room_for(arrival.rank.priority) && !self.queue.outranks(arrival.rank) {
             self.start(now_us, arrival.call, arrival.rank.priority);
@@ -270,9 +273,12 @@
 
     fn enqueue(&mut self, now_us: u64, arrival: Arrival) -> Offer {
         let ahead = self.queue.ahead_of(arrival.rank);
-        let is_too_late =
-            !self.can_finish(now_us, self.wait_us(now_us, ahead), arrival.deadline_us);
-        if is_too_late || ahead >= self.queue_len_bound() {
+        let wait_us = self.wait_us(now_us, ahead);
+        if !self.can_finish(now_us, wait_us, arrival.deadline_us) {
+            let refusal = self.refusal(now_us, RefusalReason::Deadline);
+            return Offer::refused(refusal);
+        }
+        if ahead >= self.queue_len_bound() {
             let refusal = self.refusal(now_us, RefusalReason::Overload);
             return Offer::refused(refusal);
         }
@@ -306,7 +312,10 @@
         for late in self.queue.take_late(must_start_us) {
             released.evicted.push(Evicted {
                 call: late.call,
-                refusal: self.refusal(now_us, RefusalReason::Deadline),
+                refusal: Refusal {
+                    is_elsewhere_worthwhile: false,
+                    ..self.refusal(now_us, RefusalReason::Deadline)
+                },
             });
         }
         while let Some(first) = self.queue.first() {
@@ -344,7 +353,7 @@
         Refusal {
             reason,
             retry_after_ms: drain_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
-            is_elsewhere_worthwhile: reason != RefusalReason::Deadline,
+            is_elsewhere_worthwhile: true,
         }
     }
 }
