--- a/src/membership.rs
+++ b/src/membership.rs
@@ -1,4 +1,17 @@
 //! Membership: which daemons there are, without a list and without a coordinator.
+//!
+//! A daemon finds a few others through the platform's table, or a snapshot in the object store,
+//! and learns the rest from them. From then on daemons probe each other, and what they learn
+//! rides on the probes within a byte budget.
+
+mod contacts;
+mod gossip;
+mod message;
+mod probe;
+mod range;
+mod roster;
+mod service;
+mod settings;
 
 use std::net::SocketAddr;
 
@@ -7,6 +20,13 @@
 use crate::derives::{message, value};
 use crate::ids::{AvailabilityZone, MemberId, ServiceName};
 
+pub use gossip::{Budget, Tell, UpdateQueue};
+pub use message::{Gossip, Message, Update, encoded_bytes};
+pub use range::{IdRange, PartDigest};
+pub use roster::{Learned, Roster};
+pub use service::Membership;
+pub use settings::MembershipSettings;
+
 /// The name of the membership service.
 pub const NAME: &str = "membership";
 
@@ -44,9 +64,21 @@
     Gone,
 }
 
-/// A membership message between daemons.
-#[apply(message!)]
-pub enum Message {
-    /// Are you alive?
-    Probe,
+impl Member {
+    /// Returns what decides between two reports of the same member: the greater is newer.
+    pub fn freshness(&self) -> (u32, MemberState) {
+        (self.incarnation, self.state)
+    }
+
+    /// Returns a hash of all there is to know of the member.
+    fn hash(&self) -> u32 {
+        let mut hasher = xxhash_rust::xxh3::Xxh3::new();
+        hasher.update(&self.id.0.to_le_bytes());
+        hasher.update(&self.incarnation.to_le_bytes());
+        hasher.update(&[self.state as u8]);
+        hasher.update(&self.slots.to_le_bytes());
+        let service = self.service.as_ref().map_or("", ServiceName::as_str);
+        hasher.update(service.as_bytes());
+        hasher.digest() as u32
+    }
 }
--- /dev/null
+++ b/src/membership/contacts.rs
@@ -0,0 +1,153 @@
+//! First contacts: the platform's rows and the snapshot in the object store.
+
+use std::net::SocketAddr;
+
+use rand::{Rng, RngExt};
+
+use super::Member;
+use crate::ids::{AvailabilityZone, MemberId};
+use crate::table::{Expected, ObjectRequest, Row, TableRequest, TableWrite};
+
+/// The start of the keys of all members' rows.
+const ROW_PREFIX: &str = "member/";
+
+/// A text greater than all ids in keys.
+const AFTER_ALL_IDS: char = '~';
+
+/// The name of the snapshot in the object store.
+const SNAPSHOT_NAME: &str = "members";
+
+/// The delay before a failed request to the platform is tried again, at first.
+const RETRY_FIRST_MS: u64 = 200;
+
+/// A delay that doubles with each failure, with jitter.
+#[derive(Default)]
+pub(super) struct Backoff {
+    failures: u32,
+}
+
+impl Backoff {
+    /// Returns the next delay.
+    pub(super) fn next_us(&mut self, most_ms: u32, rng: &mut impl Rng) -> u64 {
+        let most_us = u64::from(most_ms) * 1_000;
+        let doubled_us = (RETRY_FIRST_MS * 1_000) << self.failures.min(16);
+        self.failures += 1;
+        let delay_us = doubled_us.min(most_us).max(1);
+        delay_us / 2 + rng.random_range(0..=delay_us / 2)
+    }
+
+    /// Begins anew after a success.
+    pub(super) fn reset(&mut self) {
+        self.failures = 0;
+    }
+}
+
+/// Returns the key of a member's row.
+pub(super) fn row_key(zone: &AvailabilityZone, id: MemberId) -> String {
+    format!("{ROW_PREFIX}{zone}/{:016x}", id.0)
+}
+
+/// Reads some rows of a zone, after a random one.
+pub(super) fn scan_zone(zone: &AvailabilityZone, limit: u32, rng: &mut impl Rng) -> TableRequest {
+    let after = row_key(zone, MemberId(rng.random()));
+    scan_rows(Some(zone), Some(after), limit)
+}
+
+/// Reads the first rows of the zone that comes after another one in the table.
+pub(super) fn scan_next_zone(zone: Option<&AvailabilityZone>, limit: u32) -> TableRequest {
+    let after = zone.map(|zone| format!("{ROW_PREFIX}{zone}/{AFTER_ALL_IDS}"));
+    scan_rows(None, after, limit)
+}
+
+/// Reads the rows of a zone, or of all zones, after a key.
+pub(super) fn scan_rows(
+    zone: Option<&AvailabilityZone>,
+    after: Option<String>,
+    limit: u32,
+) -> TableRequest {
+    let prefix = match zone {
+        Some(zone) => format!("{ROW_PREFIX}{zone}/"),
+        None => ROW_PREFIX.to_string(),
+    };
+    TableRequest::Scan {
+        prefix,
+        after,
+        limit,
+    }
+}
+
+/// Writes the row of a member.
+pub(super) fn write_row(member: &Member) -> TableRequest {
+    let value = serde_json::to_string(member).unwrap_or_default();
+    write(member, Expected::Any, Some(value))
+}
+
+/// Deletes the row of a member.
+pub(super) fn delete_row(member: &Member) -> TableRequest {
+    write(member, Expected::Any, None)
+}
+
+/// Deletes a row that nobody wrote since it was read.
+pub(super) fn delete_stale(member: &Member, version: u64) -> TableRequest {
+    write(member, Expected::Version(version), None)
+}
+
+fn write(member: &Member, expected: Expected, value: Option<String>) -> TableRequest {
+    let write = TableWrite {
+        key: row_key(&member.availability_zone, member.id),
+        expected,
+        value,
+    };
+    TableRequest::Write {
+        writes: vec![write],
+    }
+}
+
+/// Reads the snapshot.
+pub(super) fn read_snapshot() -> ObjectRequest {
+    ObjectRequest::Get {
+        name: SNAPSHOT_NAME.to_string(),
+    }
+}
+
+/// Writes the snapshot.
+pub(super) fn write_snapshot(members: &[Member]) -> ObjectRequest {
+    ObjectRequest::Put {
+        name: SNAPSHOT_NAME.to_string(),
+        content: serde_json::to_string(members).unwrap_or_default(),
+    }
+}
+
+/// Returns the members of a snapshot, none where it cannot be read.
+pub(super) fn snapshot_members(content: &str) -> Vec<Member> {
+    serde_json::from_str(content).unwrap_or_default()
+}
+
+/// Returns the members of rows, without those that cannot be read.
+pub(super) fn row_members(rows: &[Row]) -> Vec<(Member, u64)> {
+    let mut members = Vec::new();
+    for row in rows {
+        let Ok(member) = serde_json::from_str(&row.value) else {
+            continue;
+        };
+        members.push((member, row.version));
+    }
+    members
+}
+
+/// Returns the addresses of members other than the own, in random order.
+pub(super) fn addresses(
+    members: &[Member],
+    own: SocketAddr,
+    rng: &mut impl Rng,
+) -> Vec<SocketAddr> {
+    use rand::seq::SliceRandom;
+    let mut addresses = Vec::new();
+    for member in members {
+        if member.address != own && !addresses.contains(&member.address) {
+            addresses.push(member.address);
+        }
+    }
+    addresses.shuffle(rng);
+    addresses
+}
--- /dev/null
+++ b/src/retry/ledger.rs
@@ -0,0 +1,205 @@
+//! The retry service: allowances of root requests, budgets of callers.
+
+use macro_rules_attribute::apply;
+
+use super::NAME;
+use super::allowance::Allowance;
+use super::budget::{Budget, BudgetBounds};
+use crate::derives::settings;
+use crate::ids::{Caller, RequestId};
+use crate::kernel::{Context, Event, Service};
+use crate::sorted::SortedMap;
+use crate::verdict::{Refusal, RefusalReason};
+
+/// The bounds of the callers' retry budgets.
+#[apply(settings!)]
+pub struct RetrySettings {
+    /// The retries that a caller may make, as a percentage of its recent successes.
+    pub budget_percent: u32,
+    /// The retries that a caller may make in a window without any success.
+    pub budget_floor: u32,
+    /// The window in which successes and retries are counted.
+    pub window_ms: u64,
+    /// The greatest number of callers that are remembered.
+    pub callers_max: usize,
+    /// The greatest number of recent requests that are remembered for each caller.
+    pub requests_per_caller_max: usize,
+}
+
+impl Default for RetrySettings {
+    fn default() -> Self {
+        Self {
+            budget_percent: 20,
+            budget_floor: 10,
+            window_ms: 10_000,
+            callers_max: 1_024,
+            requests_per_caller_max: 256,
+        }
+    }
+}
+
+/// Grants the allowances of root requests and keeps the budgets of their callers.
+pub struct RetryLedger {
+    bounds: BudgetBounds,
+    callers_max: usize,
+    callers: SortedMap<Caller, Budget>,
+}
+
+impl RetryLedger {
+    /// Makes a ledger that knows no caller.
+    pub fn new(settings: RetrySettings) -> Self {
+        let bounds = BudgetBounds {
+            window_us: settings.window_ms.max(1) * 1_000,
+            percent: settings.budget_percent,
+            floor: settings.budget_floor,
+            requests_max: settings.requests_per_caller_max.max(1),
+        };
+        Self {
+            bounds,
+            callers_max: settings.callers_max.max(1),
+            callers: SortedMap::default(),
+        }
+    }
+
+    /// Grants the allowance of a request from outside the call graph, or refuses a repeat.
+    ///
+    /// A first try gets `policy_retries`. A repeat takes one token of what its earlier tries left
+    /// over, and gets what the caller `offered` of the rest. A repeat of a request without any left
+    /// is charged to the caller's budget, and refused once that is spent.
+    #[expect(clippy::too_many_arguments)]
+    pub fn open_root(
+        &mut self,
+        now_us: u64,
+        caller: &Caller,
+        request: Option<RequestId>,
+        policy_retries: u32,
+        offered: Option<u32>,
+        is_repeat: bool,
+    ) -> Result<Allowance, Refusal> {
+        let bounds = self.bounds;
+        let budget = self.budget(now_us, caller);
+        let Some(request) = request else {
+            return budget.open_unnamed(now_us, policy_retries, is_repeat, bounds);
+        };
+        if let Some(allowance) = budget.recognize(request) {
+            if allowance.spend() {
+                let tokens = allowance.hand_down(offered.unwrap_or(0));
+                return Ok(Allowance::new(tokens));
+            }
+            return budget.open_beyond(now_us, bounds);
+        }
+        if !is_repeat {
+            let tokens = offered.unwrap_or(policy_retries).min(policy_retries);
+            return Ok(budget.remember(now_us, request, tokens, bounds));
+        }
+        let offered = offered.unwrap_or(0).min(policy_retries.saturating_sub(1));
+        if offered == 0 {
+            let opened = budget.open_beyond(now_us, bounds);
+            budget.remember(now_us, request, 0, bounds);
+            return opened;
+        }
+        let left = budget.left(now_us, bounds);
+        budget.charge(1);
+        Ok(budget.remember(now_us, request, offered.min(left), bounds))
+    }
+
+    /// Notes the end of a root request: the tokens that it left over, and whether it succeeded.
+    pub fn close_root(
+        &mut self,
+        now_us: u64,
+        caller: &Caller,
+        request: Option<RequestId>,
+        left: u32,
+        succeeded: bool,
+    ) {
+        let budget = self.budget(now_us, caller);
+        if succeeded {
+            budget.succeed();
+        }
+        let Some(request) = request else {
+            budget.refund(left);
+            return;
+        };
+        if let Some(allowance) = budget.recognize(request) {
+            allowance.give_back(left);
+        }
+    }
+
+    /// Returns the number of callers in memory.
+    pub fn callers(&self) -> usize {
+        self.callers.len()
+    }
+
+    fn budget(&mut self, now_us: u64, caller: &Caller) -> &mut Budget {
+        if !self.callers.contains_key(caller) {
+            self.make_room();
+        }
+        let budget = self
+            .callers
+            .get_or_insert_with(caller.clone(), Budget::default);
+        budget.advance(now_us, self.bounds);
+        budget
+    }
+
+    /// Forgets the caller that was silent for longest where there are too many.
+    fn make_room(&mut self) {
+        if self.callers.len() < self.callers_max {
+            return;
+        }
+        let mut oldest: Option<(&Caller, u64)> = None;
+        for (caller, budget) in self.callers.iter() {
+            if oldest.is_none_or(|(_, seen_us)| budget.last_seen_us < seen_us) {
+                oldest = Some((caller, budget.last_seen_us));
+            }
+        }
+        let Some((caller, _)) = oldest else {
+            return;
+        };
+        let caller = caller.clone();
+        self.callers.remove(&caller);
+    }
+}
+
+impl Budget {
+    /// Grants the allowance of a request without an identifier out of the budget.
+    fn open_unnamed(
+        &mut self,
+        now_us: u64,
+        policy_retries: u32,
+        is_repeat: bool,
+        bounds: BudgetBounds,
+    ) -> Result<Allowance, Refusal> {
+        if is_repeat {
+            return self.open_beyond(now_us, bounds);
+        }
+        let tokens = policy_retries.min(self.left(now_us, bounds));
+        self.charge(tokens);
+        Ok(Allowance::new(tokens))
+    }
+
+    /// Charges a repeat to the budget; it brings no tokens.
+    fn open_beyond(&mut self, now_us: u64, bounds: BudgetBounds) -> Result<Allowance, Refusal> {
+        if self.left(now_us, bounds) == 0 {
+            return Err(self.refusal(now_us, bounds));
+        }
+        self.charge(1);
+        Ok(Allowance::default())
+    }
+
+    fn refusal(&self, now_us: u64, bounds: BudgetBounds) -> Refusal {
+        let rest_ms = self.window_rest_us(now_us, bounds).div_ceil(1_000);
+        Refusal {
+            reason: RefusalReason::RetryBudget,
+            retry_after_ms: u32::try_from(rest_ms).unwrap_or(u32::MAX),
+            is_elsewhere_worthwhile: false,
+        }
+    }
+}
+
+impl Service for RetryLedger {
+    fn name(&self) -> &'static str {
+        NAME
+    }
+
+    fn handle(&mut self, _context: &mut Context<'_>, _event: Event) {}
+}
--- /dev/null
+++ b/src/settings/check.rs
@@ -0,0 +1,86 @@
+//! Checks of settings: each fault is told with the field's path and what is allowed.
+
+use serde_json::Value;
+
+use super::{Bound, Settings, bounds};
+use crate::fields::{self, FieldError, FieldRules};
+
+/// The fewest characters of an operator's token.
+const TOKEN_CHARS_MIN: usize = 16;
+
+const ADDRESS: &str = "an IP address with a port, such as \"127.0.0.1:8080\"";
+
+/// What a text field allows, by the field's path.
+const ALLOWED: &[(&str, &str)] = &[
+    ("caller_address", ADDRESS),
+    ("operator_address", ADDRESS),
+    ("peer_address", ADDRESS),
+    ("peer_advertised_address", ADDRESS),
+    ("announce_address", ADDRESS),
+    ("log.format", "\"text\" or \"json\""),
+    ("log.level", "\"error\", \"warn\", \"info\" or \"debug\""),
+];
+
+/// The table of ranges and the table of texts.
+struct Tables;
+
+impl FieldRules for Tables {
+    fn check(&self, path: &str, given: &Value) -> Result<(), FieldError> {
+        let (Some(number), Some(bound)) = (given.as_f64(), bound_of(path)) else {
+            return Ok(());
+        };
+        let is_within = number >= bound.least as f64 && number <= bound.greatest as f64;
+        if is_within && !given.is_f64() {
+            return Ok(());
+        }
+        let problem = format!("must be {}", range(bound));
+        Err(FieldError::new(path, problem))
+    }
+
+    fn allowed(&self, path: &str) -> Option<String> {
+        if let Some(bound) = bound_of(path) {
+            return Some(range(bound));
+        }
+        for (field, allowed) in ALLOWED {
+            if *field == path {
+                return Some(allowed.to_string());
+            }
+        }
+        None
+    }
+}
+
+fn bound_of(path: &str) -> Option<&'static Bound> {
+    bounds().iter().find(|bound| bound.field == path)
+}
+
+fn range(bound: &Bound) -> String {
+    format!("a whole number from {} to {}", bound.least, bound.greatest)
+}
+
+/// Makes settings from the JSON of a file.
+pub(super) fn read(given: Value) -> Result<Settings, FieldError> {
+    let example = serde_json::to_value(Settings::default()).unwrap_or_default();
+    let settings: Settings = fields::read(given, &example, &Tables)?;
+    check_text(&settings)?;
+    Ok(settings)
+}
+
+fn check_text(settings: &Settings) -> Result<(), FieldError> {
+    if settings.operator_token.chars().count() < TOKEN_CHARS_MIN {
+        let problem = format!("must have at least {TOKEN_CHARS_MIN} characters");
+        return Err(FieldError::new("operator_token", problem));
+    }
+    if !settings.platform_url.starts_with("http://") {
+        let problem = "must be an HTTP address, such as \"http://127.0.0.1:8090\"";
+        return Err(FieldError::new("platform_url", problem));
+    }
+    if settings.availability_zone.as_str().is_empty() {
+        return Err(FieldError::new("availability_zone", "must not be empty"));
+    }
+    if !settings.announce_address.ip().is_loopback() {
+        let problem = "must be a loopback address, such as \"127.0.0.1:8083\"";
+        return Err(FieldError::new("announce_address", problem));
+    }
+    Ok(())
+}
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -114,11 +114,20 @@
         ClaimHeld => "claim_held",
         /// The platform's table cannot say whether the request ran before.
         TableUnavailable => "table_unavailable",
+        /// Nothing ran now, but an earlier try of the same key may have run.
+        EarlierTry => "earlier_try",
         /// The caller cancelled the request while it was running.
         Cancelled => "cancelled",
     }
 }
 
+impl RefusalReason {
+    /// Says whether the guard has no target that could take any request.
+    pub fn is_without_target(self) -> bool {
+        matches!(self, Self::Leaving | Self::TargetNotReady | Self::NoTarget)
+    }
+}
+
 impl Verdict {
     /// Makes a refusal that another target would repeat.
     pub fn not_run(reason: RefusalReason, retry_after_ms: u32) -> Self {
