--- a/src/run_once/claim.rs
+++ b/src/run_once/claim.rs
@@ -54,6 +54,8 @@
     pub(super) nonce: u64,
     pub(super) row: RowState,
     pub(super) attempts: u32,
+    /// Whether an insert whose answer was lost may have taken effect.
+    pub(super) is_in_doubt: bool,
     /// Whether the table is being asked.
     pub(super) is_asked: bool,
 }
@@ -92,6 +94,7 @@
             nonce,
             row: RowState::Unknown,
             attempts: 0,
+            is_in_doubt: false,
             is_asked: false,
         }
     }
--- a/src/run_once/queue.rs
+++ b/src/run_once/queue.rs
@@ -29,6 +29,8 @@
     /// Inserts that are sent again by themselves, so that no other claim's conflict fails them.
     again: VecDeque<Vec<RunSlot>>,
     releases: VecDeque<RunSlot>,
+    /// Refused claims whose insert may have taken effect.
+    doubted: Vec<RunSlot>,
     asked: SortedMap<AskKey, Batch>,
     /// The time until which the table counts as down.
     pub(super) down_until_us: u64,
@@ -52,8 +54,18 @@
         self.releases.push_back(slot);
     }
 
-    /// Takes the claims for the next request: inserts first, releases only while the table is up.
+    /// Adds a refused claim whose insert may have taken effect.
+    pub(super) fn push_doubted(&mut self, slot: RunSlot) {
+        self.doubted.push(slot);
+    }
+
+    /// Takes the claims for the next request: inserts first, the rest only while the table is up.
+    ///
+    /// A doubted claim is inserted once more, so that its row is known and can be released.
     pub(super) fn next_batch(&mut self, now_us: u64, batch_max: usize) -> Option<Batch> {
+        if now_us >= self.down_until_us {
+            self.inserts.extend(self.doubted.drain(..));
+        }
         if let Some(slots) = self.again.pop_front() {
             let change = RowChange::Insert;
             return Some(Batch { change, slots });
@@ -92,7 +104,8 @@
 
     /// Says whether nothing waits and nothing is asked.
     pub(super) fn is_empty(&self) -> bool {
-        let waits = !self.inserts.is_empty() || !self.again.is_empty() || !self.releases.is_empty();
-        !waits && self.asked.is_empty()
+        let has_inserts = !self.inserts.is_empty() || !self.again.is_empty();
+        let has_releases = !self.releases.is_empty() || !self.doubted.is_empty();
+        !has_inserts && !has_releases && self.asked.is_empty()
     }
 }
--- a/src/run_once/service/claims.rs
+++ b/src/run_once/service/claims.rs
@@ -14,6 +14,9 @@
     ///
     /// After `Pending` the caller sends [`CLAIMS_DUE`](crate::run_once::CLAIMS_DUE) to this service,
     /// which then asks the platform's table; the word comes as `Event::ClaimDecided`.
+    ///
+    /// `is_first_try` is the caller's word that no copy of this key is under way or may have run:
+    /// it sent none before, or each one before ended as not run.
     pub fn begin_claim(
         &mut self,
         now_us: u64,
@@ -26,8 +29,8 @@
         let Some(slot) = self.runs.find(RunName::Claim(name)) else {
             return self.begin_new_claim(call, key, request);
         };
-        if self.may_reopen(slot, key, request) {
-            return self.reopen(slot, call);
+        if self.may_reopen(slot, request) {
+            return self.reopen(slot, call, key);
         }
         let begin = self.rejoin(slot, call, request);
         if begin == Begin::Joined && !key.is_first_try {
@@ -51,17 +54,19 @@
         Begin::Pending
     }
 
-    /// A refused claim runs after all when its caller repeats it; a late first copy never does.
-    fn may_reopen(&self, slot: RunSlot, key: &ClaimKey, request: RequestId) -> bool {
+    /// A refused claim runs after all when its caller sends it again.
+    fn may_reopen(&self, slot: RunSlot, request: RequestId) -> bool {
         let Some(run) = self.runs.get(slot) else {
             return false;
         };
-        matches!(run.state, RunState::Refused(_)) && run.request == request && !key.is_first_try
+        matches!(run.state, RunState::Refused(_)) && run.request == request
     }
 
-    fn reopen(&mut self, slot: RunSlot, call: CallKey) -> Begin {
+    fn reopen(&mut self, slot: RunSlot, call: CallKey, key: &ClaimKey) -> Begin {
         self.runs.replace_call(slot, call);
-        self.note_repeat(slot);
+        if let Some(run) = self.runs.get_mut(slot) {
+            run.is_first_try = key.is_first_try;
+        }
         let Some(claim) = self.claim_mut(slot) else {
             return Begin::Decided(Verdict::may_have_run(DoubtReason::AnswerDropped, 0));
         };
@@ -134,6 +139,9 @@
         let Some(run) = self.runs.get(slot) else {
             return;
         };
+        if run.claim.is_some_and(|claim| claim.is_in_doubt) {
+            self.queue.push_doubted(slot);
+        }
         if run.state != RunState::Pending {
             return;
         }
--- a/src/run_once/service/table.rs
+++ b/src/run_once/service/table.rs
@@ -87,7 +87,12 @@
             return None;
         };
         let claim = run.claim.as_mut()?;
-        if run.state != RunState::Pending || claim.is_asked || claim.row != RowState::Unknown {
+        let is_wanted = match run.state {
+            RunState::Pending => true,
+            RunState::Refused(_) => claim.is_in_doubt,
+            _ => false,
+        };
+        if !is_wanted || claim.is_asked || claim.row != RowState::Unknown {
             return None;
         }
         claim.is_asked = true;
@@ -162,9 +167,12 @@
     /// An insert whose answer was lost goes out again under the same nonce, so that one that took
     /// effect is recognized.
     fn lost_insert(&mut self, context: &mut Context<'_>, slot: RunSlot) -> Insert {
-        let claim = self.claim_mut(slot);
-        let attempts = claim.map_or(u32::MAX, |claim| claim.attempts);
-        if attempts < self.settings.claim_attempts_max {
+        let attempts_max = self.settings.claim_attempts_max;
+        let Some(claim) = self.claim_mut(slot) else {
+            return Insert::Decided;
+        };
+        claim.is_in_doubt = true;
+        if claim.attempts < attempts_max {
             return Insert::Undecided;
         }
         self.give_up(context, slot);
--- a/src/run_once/settings.rs
+++ b/src/run_once/settings.rs
@@ -48,7 +48,7 @@
             ticket_block_max: 64,
             ticket_ranges_max: 4_096,
             joined_calls_max: 64,
-            claim_timeout_ms: 500,
+            claim_timeout_ms: 300,
             claim_attempts_max: 2,
             claim_batch_max: 64,
             claim_requests_max: 2,
--- a/tests/run_once_faults.rs
+++ b/tests/run_once_faults.rs
@@ -223,6 +223,19 @@
         hears: Hears::Answer,
         runs: 1,
     },
+    claim_in_doubt_is_released_before_its_daemon_dies => Case {
+        script: |net| {
+            net.platform_fault = PlatformFault::AnswerLost;
+            first(net, 0);
+            wait(net, 1_500_000);
+            net.platform_fault = PlatformFault::None;
+            wait(net, 3_000_000);
+            net.kill(0);
+            repeat(net, 1)
+        },
+        hears: Hears::Answer,
+        runs: 1,
+    },
     claim_with_a_table_slower_than_its_timeout => Case {
         script: |net| { net.platform_fault = PlatformFault::Slow(800_000); repeat(net, 0) },
         hears: Hears::Doubt(DoubtReason::TableUnavailable),
