Enforce the byte budget on every membership message

Cause: probes, relays and answers went out when no byte was left. Seen before: 100 members at 600 B/s with 8,192 B saved up, 20 replaced: one had sent 44,238 bytes in 60 s where 44,192 are allowed; in a start of 1,000 at once one was 29,425 bytes overdrawn.

Change: each message is sent only where its bytes are left, and 2,048 bytes are kept for answers and relayed probes. A list part without members is asked again after a growing delay. What is left out is counted.

Ruled out: keeping bytes back without a check of each message (44,391 to 44,708 bytes).

Measured after: the same test passes; the encoded size that the budget counts is held against the codec in a property test.

--- a/src/membership/gossip.rs
+++ b/src/membership/gossip.rs
@@ -111,11 +111,15 @@
     Full,
 }
 
+/// The bytes that are kept for short answers, such as those to probes.
+const KEPT_BYTES: u32 = 2_048;
+
 /// The bytes that may be sent: saved up at a steady rate to a greatest amount.
 #[derive(Clone, Debug)]
 pub struct Budget {
     bytes_per_s: f64,
     most_bytes: f64,
+    kept_bytes: f64,
     left_bytes: f64,
     at_us: u64,
 }
@@ -126,17 +130,22 @@
         Self {
             bytes_per_s: f64::from(bytes_per_s),
             most_bytes: f64::from(most_bytes),
+            kept_bytes: f64::from(KEPT_BYTES.min(most_bytes / 4)),
             left_bytes: f64::from(most_bytes),
             at_us: 0,
         }
     }
 
-    /// Returns the bytes that may be sent now; 0 while more was sent than the rate allows.
+    /// Returns the bytes that may be sent now beside short answers, for which some are kept.
     pub fn left_bytes(&mut self, now_us: u64) -> usize {
+        self.save(now_us);
+        (self.left_bytes - self.kept_bytes).max(0.0) as usize
+    }
+
+    fn save(&mut self, now_us: u64) {
         let passed_s = now_us.saturating_sub(self.at_us) as f64 / 1e6;
         self.at_us = now_us.max(self.at_us);
         self.left_bytes = (self.left_bytes + passed_s * self.bytes_per_s).min(self.most_bytes);
-        self.left_bytes.max(0.0) as usize
     }
 
     /// Says whether at least half of what can be saved up is left.
@@ -144,8 +153,13 @@
         self.left_bytes(now_us) as f64 >= self.most_bytes / 2.0
     }
 
-    /// Spends bytes.
-    pub fn spend(&mut self, bytes: usize) {
-        self.left_bytes -= bytes as f64;
+    /// Spends bytes, those that are kept included; returns false where there are too few.
+    pub fn spend(&mut self, now_us: u64, bytes: usize) -> bool {
+        self.save(now_us);
+        let is_enough = self.left_bytes >= bytes as f64;
+        if is_enough {
+            self.left_bytes -= bytes as f64;
+        }
+        is_enough
     }
 }
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -29,6 +29,9 @@
 /// Membership messages that this daemon sent, answers included.
 const GOSSIP_MESSAGES: Counter = Counter::plain("gossip_messages");
 
+/// Membership messages that this daemon had no bytes to send.
+const MESSAGES_LEFT_OUT: Counter = Counter::plain("gossip_messages_left_out");
+
 /// Members that were taken for gone because they did not answer.
 const MEMBERS_FAILED: Counter = Counter::plain("members_failed");
 
@@ -102,6 +105,7 @@
     asks: SortedMap<AskKey, Ask>,
     backoff: Backoff,
     row_backoff: Backoff,
+    list_backoff: Backoff,
 }
 
 impl Membership {
@@ -124,6 +128,7 @@
             asks: SortedMap::default(),
             backoff: Backoff::default(),
             row_backoff: Backoff::default(),
+            list_backoff: Backoff::default(),
         }
     }
 
@@ -420,29 +425,44 @@
         news_of(&self.roster, to)
     }
 
+    /// Asks another daemon; returns whether there were bytes to do so.
     fn ask(
         &mut self,
         context: &mut Context<'_>,
         to: std::net::SocketAddr,
         message: Message,
-        timeout_ms: u32,
-    ) -> AskKey {
-        self.spend(context, &message);
+        about: Ask,
+    ) -> bool {
+        if !self.spend(context, &message) {
+            return false;
+        }
+        let timeout_ms = match about {
+            Ask::Relayed(_) => 2 * self.settings.probe_timeout_ms,
+            _ => self.settings.probe_timeout_ms,
+        };
         let timeout_us = u64::from(timeout_ms) * 1_000;
-        context.ask(to, PeerQuestion::Membership(message), timeout_us)
+        let ask = context.ask(to, PeerQuestion::Membership(message), timeout_us);
+        self.asks.insert(ask, about);
+        true
     }
 
     fn answer(&mut self, context: &mut Context<'_>, inbound: InboundKey, message: Message) {
-        self.spend(context, &message);
+        if !self.spend(context, &message) {
+            return;
+        }
         context.answer(inbound, PeerAnswer::Membership(message));
     }
 
-    fn spend(&mut self, context: &mut Context<'_>, message: &Message) {
+    /// Spends the bytes of a message, or counts it as left out where there are too few.
+    fn spend(&mut self, context: &mut Context<'_>, message: &Message) -> bool {
         let bytes = encoded_bytes(message);
-        self.budget.left_bytes(context.now_us());
-        self.budget.spend(bytes);
+        if !self.budget.spend(context.now_us(), bytes) {
+            context.count(MESSAGES_LEFT_OUT);
+            return false;
+        }
         context.count_by(GOSSIP_BYTES, bytes as u64);
         context.count(GOSSIP_MESSAGES);
+        true
     }
 
     fn timer(&self, context: &mut Context<'_>, after_us: u64, tag: Tag) {
--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -215,16 +215,21 @@
             from: self.own.clone(),
             after: self.joining.after,
         };
-        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-        self.asks.insert(ask, Ask::List);
+        if !self.ask(context, address, message, Ask::List) {
+            self.list_later(context);
+        }
     }
 
     pub(super) fn listed(&mut self, context: &mut Context<'_>, result: Result<Message, LinkError>) {
         let Ok(Message::Members { members, has_more }) = result else {
-            let period_us = u64::from(self.settings.list_period_ms) * 1_000;
-            self.timer(context, period_us, Tag::List);
+            self.list_later(context);
             return;
         };
+        if members.is_empty() && has_more {
+            self.list_later(context);
+            return;
+        }
+        self.list_backoff.reset();
         for member in members {
             self.joining.after = self.joining.after.max(Some(member.id));
             self.learn(context, member, Spread::Nothing);
@@ -245,6 +250,14 @@
         }
     }
 
+    /// Asks another member after a delay that grows while none has bytes to spend.
+    fn list_later(&mut self, context: &mut Context<'_>) {
+        let after_us = self
+            .list_backoff
+            .next_us(self.settings.probe_period_ms, context.rng());
+        self.timer(context, after_us, Tag::List);
+    }
+
     pub(super) fn answer_list(
         &mut self,
         context: &mut Context<'_>,
--- a/src/membership/service/probing.rs
+++ b/src/membership/service/probing.rs
@@ -1,5 +1,7 @@
 //! Probes, relayed probes and suspicions.
 
+use std::net::SocketAddr;
+
 use rand::RngExt;
 
 use super::{
@@ -42,10 +44,19 @@
             return;
         };
         let address = member.address;
-        let gossip = self.gossip(context, id, &[]);
-        let message = Message::Probe { to: id, gossip };
-        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-        self.asks.insert(ask, Ask::Probe(id));
+        self.probe_address(context, id, address, Ask::Probe(id));
+    }
+
+    /// Probes a member at an address; returns whether there were bytes to do so.
+    pub(super) fn probe_address(
+        &mut self,
+        context: &mut Context<'_>,
+        to: MemberId,
+        address: SocketAddr,
+        about: Ask,
+    ) -> bool {
+        let gossip = self.gossip(context, to, &[]);
+        self.ask(context, address, Message::Probe { to, gossip }, about)
     }
 
     /// Tries a member that is gone, which a cut between them may have made so.
@@ -63,10 +74,7 @@
         if self.roster.at_address(address).is_some() {
             return;
         }
-        let gossip = self.gossip(context, id, &[]);
-        let message = Message::Probe { to: id, gossip };
-        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-        self.asks.insert(ask, Ask::ProbeGone);
+        self.probe_address(context, id, address, Ask::ProbeGone);
     }
 
     /// Tells the members that this daemon probes at once.
@@ -138,10 +146,9 @@
                 gossip,
             } => {
                 self.absorb(context, gossip);
-                let gossip = self.gossip(context, to, &[]);
-                let message = Message::Probe { to, gossip };
-                let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-                self.asks.insert(ask, Ask::ForPeer(inbound));
+                if !self.probe_address(context, to, address, Ask::ForPeer(inbound)) {
+                    self.answer(context, inbound, Message::Unreached);
+                }
             }
             Message::List { from, after } => self.answer_list(context, inbound, from, after),
             Message::Compare { range, hashes } => {
@@ -226,7 +233,7 @@
             self.suspect(context, id);
             return;
         }
-        self.prober.begin_check(id, relays.len() as u32);
+        let mut awaited = 0;
         for relay in relays {
             let gossip = self.gossip(context, relay.id, &[]);
             let message = Message::Relay {
@@ -234,9 +241,10 @@
                 address,
                 gossip,
             };
-            let timeout_ms = 2 * self.settings.probe_timeout_ms;
-            let ask = self.ask(context, relay.address, message, timeout_ms);
-            self.asks.insert(ask, Ask::Relayed(id));
+            awaited += u32::from(self.ask(context, relay.address, message, Ask::Relayed(id)));
+        }
+        if awaited > 0 {
+            self.prober.begin_check(id, awaited);
         }
     }
 
--- a/src/membership/service/rows.rs
+++ b/src/membership/service/rows.rs
@@ -1,6 +1,6 @@
 //! The table's rows and the snapshot, kept by a few members for daemons that start.
 
-use super::{Ask, Member, Membership, Message, Tag};
+use super::{Ask, Member, Membership, Tag};
 use crate::ids::MemberId;
 use crate::kernel::{Context, StateChange};
 use crate::membership::contacts;
@@ -91,10 +91,7 @@
             });
             doubt.version = version;
             doubt.walk = walk;
-            let gossip = self.gossip(context, id, &[]);
-            let message = Message::Probe { to: id, gossip };
-            let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-            self.asks.insert(ask, Ask::ProbeRow(id));
+            self.probe_address(context, id, address, Ask::ProbeRow(id));
         }
     }
 
--- a/src/membership/service/syncing.rs
+++ b/src/membership/service/syncing.rs
@@ -64,8 +64,7 @@
         let Some(address) = self.roster.get(to).map(|member| member.address) else {
             return;
         };
-        let ask = self.ask(context, address, message, self.settings.probe_timeout_ms);
-        self.asks.insert(ask, Ask::Sync { to, parts_left });
+        self.ask(context, address, message, Ask::Sync { to, parts_left });
     }
 
     /// Goes one step further into a part of the range that the other side knows otherwise.
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -356,3 +356,24 @@
         cluster.summary()
     );
 }
+
+#[test]
+fn what_a_member_sends_stays_within_its_budget() {
+    let mut cluster = Cluster::new(4);
+    cluster.settings.gossip_bytes_per_s = 600;
+    cluster.settings.gossip_burst_bytes = 8_192;
+    for _ in 0..100 {
+        cluster.add();
+    }
+    cluster.run_for(5 * SECOND_US);
+    for node in 0..20 {
+        cluster.network.kill(node);
+        cluster.add();
+    }
+    cluster.run_for(55 * SECOND_US);
+    let most_bytes = 8_192 + 60 * 600;
+    for node in &cluster.network.nodes {
+        let sent_bytes = node.counters.get(&Counter::plain("gossip_bytes"));
+        assert!(*sent_bytes.unwrap() <= most_bytes, "{sent_bytes:?}");
+    }
+}
--- /dev/null
+++ b/tests/membership_roster.rs
@@ -0,0 +1,163 @@
+//! The roster under reports in any order, and the encoded size of messages.
+
+use std::net::SocketAddr;
+use std::pin::Pin;
+
+use dragonflylug::ids::MemberId;
+use dragonflylug::membership::{
+    Gossip, IdRange, Member, MemberState, Message, Roster, Update, encoded_bytes,
+};
+use proptest::prelude::*;
+use proptest::test_runner::{RngAlgorithm, RngSeed};
+use tarpc::tokio_serde::Serializer;
+use tarpc::tokio_serde::formats::Bincode;
+
+const ENVELOPE_BYTES: usize = 100;
+
+fn config() -> ProptestConfig {
+    ProptestConfig {
+        cases: 512,
+        failure_persistence: None,
+        rng_algorithm: RngAlgorithm::ChaCha,
+        rng_seed: RngSeed::Fixed(11),
+        ..ProptestConfig::default()
+    }
+}
+
+fn state() -> impl Strategy<Value = MemberState> {
+    prop_oneof![
+        Just(MemberState::Alive),
+        Just(MemberState::Suspect),
+        Just(MemberState::Leaving),
+        Just(MemberState::Gone),
+    ]
+}
+
+fn member(id: u64, address: SocketAddr, state: MemberState, incarnation: u32) -> Member {
+    Member {
+        id: MemberId(id),
+        address,
+        availability_zone: "zone-a".into(),
+        service: Some("availability".into()),
+        slots: 35,
+        state,
+        incarnation,
+        schema_version: 1,
+    }
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+/// Reports of few members, each at its own address.
+fn reports() -> impl Strategy<Value = Vec<Member>> {
+    let report = (0..4u64, state(), 0..4u32)
+        .prop_map(|(id, state, incarnation)| member(id, address(id as u16), state, incarnation));
+    prop::collection::vec(report, 1..24)
+}
+
+/// Reports of members of which several were at one address.
+fn contested_reports() -> impl Strategy<Value = Vec<Member>> {
+    let report = (0..4u64, state(), 0..4u32)
+        .prop_map(|(id, state, incarnation)| member(id, address(7), state, incarnation));
+    prop::collection::vec(report, 1..24)
+}
+
+fn learned(reports: &[Member]) -> Roster {
+    let mut roster = Roster::default();
+    for report in reports {
+        roster.learn(report.clone(), u64::MAX);
+    }
+    roster
+}
+
+fn known(roster: &Roster) -> Vec<Member> {
+    roster.members().cloned().collect()
+}
+
+proptest! {
+    #![proptest_config(config())]
+
+    /// The greatest report of each member holds, in whatever order they come.
+    #[test]
+    fn reports_in_any_order_lead_to_the_same_roster(
+        (reports, shuffled) in reports().prop_flat_map(|reports| {
+            (Just(reports.clone()), Just(reports).prop_shuffle())
+        })
+    ) {
+        prop_assert_eq!(known(&learned(&reports)), known(&learned(&shuffled)));
+    }
+
+    /// What a gone member said before does not bring it back.
+    #[test]
+    fn stale_reports_do_not_bring_a_gone_member_back(
+        reports in reports(),
+        incarnation in 0..4u32,
+    ) {
+        let mut roster = learned(&reports);
+        roster.learn(member(1, address(1), MemberState::Gone, 3), u64::MAX);
+        roster.learn(member(1, address(1), MemberState::Alive, incarnation), u64::MAX);
+        prop_assert!(roster.get(MemberId(1)).is_none());
+        roster.learn(member(1, address(1), MemberState::Alive, 4), u64::MAX);
+        prop_assert!(roster.get(MemberId(1)).is_some());
+    }
+
+    /// At most one member is known at an address, and it can be found by it.
+    #[test]
+    fn one_member_is_known_at_an_address(reports in contested_reports()) {
+        let roster = learned(&reports);
+        let members = known(&roster);
+        prop_assert!(members.len() <= 1);
+        prop_assert_eq!(roster.at_address(address(7)), members.first());
+    }
+
+    /// The parts of a range cover its members, each once.
+    #[test]
+    fn parts_cover_the_range(ids in prop::collection::btree_set(any::<u64>(), 1..200)) {
+        let mut roster = Roster::default();
+        for (at, id) in ids.iter().enumerate() {
+            let report = member(*id, address(at as u16), MemberState::Alive, 0);
+            roster.learn(report, u64::MAX);
+        }
+        let mut found = Vec::new();
+        for (at, part) in roster.parts(IdRange::ALL).iter().enumerate() {
+            let before = found.len();
+            found.extend(roster.in_range(IdRange::ALL.part(at)).map(|member| member.id.0));
+            prop_assert_eq!(found.len() - before, part.members as usize);
+        }
+        prop_assert_eq!(found, ids.into_iter().collect::<Vec<_>>());
+    }
+
+    /// The bytes that the budget counts are those that the codec writes, and the envelope.
+    #[test]
+    fn counted_bytes_are_the_encoded_bytes(
+        reports in reports(),
+        id in any::<u64>(),
+        incarnation in any::<u32>(),
+        hashes in prop::collection::vec(any::<u32>(), 0..16),
+        kind in 0..6,
+    ) {
+        let mut updates = Vec::new();
+        for (at, report) in reports.iter().enumerate() {
+            updates.push(match at % 2 {
+                0 => Update::Whole(report.clone()),
+                _ => Update::State { id: MemberId(id), state: report.state, incarnation },
+            });
+        }
+        let gossip = Gossip { from: MemberId(id), incarnation, updates: updates.clone() };
+        let message = match kind {
+            0 => Message::Probe { to: MemberId(id), gossip },
+            1 => Message::Relay { to: MemberId(id), address: address(7), gossip },
+            2 => Message::List { from: reports[0].clone(), after: Some(MemberId(id)) },
+            3 => Message::Members { members: reports, has_more: true },
+            4 => Message::Missed { updates },
+            _ => Message::Compare { range: IdRange::ALL, hashes },
+        };
+        let mut codec = Bincode::<Message, Message>::default();
+        let encoded = Pin::new(&mut codec).serialize(&message).unwrap();
+        let counted_bytes = encoded_bytes(&message) - ENVELOPE_BYTES;
+        let spare_bytes = counted_bytes.checked_sub(encoded.len());
+        prop_assert!(spare_bytes.is_some_and(|spare_bytes| spare_bytes < 10), "{counted_bytes}");
+    }
+}
