Measure the spread of configuration; drop fetches under way on waking

Cause: no figure yet for the time until in force, the table's reads and the bytes; and a fetch whose answer never came after a pause kept a daemon from fetching again. Change: examples/config_scale.rs in virtual time; counters of messages and bytes; a message is accounted with at least its encoded size, held against the link's codec; waking gives up the fetches under way.

--- /dev/null
+++ b/examples/config_scale.rs
@@ -0,0 +1,241 @@
+//! Prints how the configuration spreads as daemons and changes grow, in virtual time.
+//!
+//! `cargo run --release --example config_scale -- 3 12 30 100 300 1000`
+
+#[allow(missing_docs)]
+#[path = "../tests/support/config.rs"]
+mod config;
+#[allow(missing_docs)]
+#[path = "../tests/support/network.rs"]
+mod network;
+
+use std::cell::Cell;
+use std::time::Instant;
+
+use config::{Cluster, record, submission};
+use dragonflylug::config::{ConfigSettings, RequestKind, ServiceRecord};
+
+const SECOND_US: u64 = 1_000_000;
+
+/// The changes of one measurement.
+const CHANGES: u64 = 40;
+
+/// The time for which a daemon is paused.
+const PAUSE_US: u64 = 10 * SECOND_US;
+
+/// The kinds of request in a record.
+const KINDS: usize = 4;
+
+/// The greatest time that a change may take; a later one stops the program.
+const LATE_US: u64 = 30 * SECOND_US;
+
+/// How a measurement differs from a quiet one.
+#[derive(Clone, Copy, Default)]
+struct Trouble {
+    /// The daemon that takes a change is paused before it tells any other.
+    submitter_pauses: bool,
+    /// One message in so many is lost; 0 for none.
+    lost_one_in: u64,
+    /// Every daemon polls the table.
+    all_poll: bool,
+}
+
+/// What was measured.
+struct Measured {
+    median_ms: f64,
+    greatest_ms: f64,
+    reads_per_s: f64,
+    bytes_per_s: f64,
+    messages_per_s: f64,
+    work_us_per_change: f64,
+}
+
+fn main() {
+    let mut sizes = Vec::new();
+    for size in std::env::args().skip(1) {
+        sizes.extend(size.parse::<usize>());
+    }
+    println!("| case | daemons | changes/s | half ms | all ms | reads/s | B/s | messages/s | us |");
+    println!("| --- |{}", " ---: |".repeat(8));
+    for size in &sizes {
+        let quiet = Trouble::default();
+        print_row("as today", *size, 0.38, quiet);
+        print_row("many changes", *size, 10.0, quiet);
+        let lost_one_in = 20;
+        let lossy = Trouble {
+            lost_one_in,
+            ..quiet
+        };
+        print_row("1 message in 20 lost", *size, 0.38, lossy);
+        let submitter_pauses = true;
+        let found = Trouble {
+            submitter_pauses,
+            ..quiet
+        };
+        print_row("submitter paused", *size, 0.38, found);
+        let all_poll = true;
+        print_row(
+            "every daemon polls",
+            *size,
+            0.38,
+            Trouble { all_poll, ..quiet },
+        );
+    }
+    for records in [100, 300, 1_100] {
+        print_start(records);
+    }
+}
+
+fn print_row(name: &str, size: usize, changes_per_s: f64, trouble: Trouble) {
+    let measured = measure(size, changes_per_s, trouble);
+    println!(
+        "| {name} | {size} | {changes_per_s} | {:.0} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} |",
+        measured.median_ms,
+        measured.greatest_ms,
+        measured.reads_per_s,
+        measured.bytes_per_s,
+        measured.messages_per_s,
+        measured.work_us_per_change,
+    );
+}
+
+/// A record as operators write it.
+fn usual_record(service: &str, retries: u32) -> ServiceRecord {
+    let mut usual = record(service, retries);
+    let kind: RequestKind = usual.kinds[0].clone();
+    usual.kinds.clear();
+    for at in 0..KINDS {
+        let path_prefix = format!("/kind-of-request-{at}");
+        usual.kinds.push(RequestKind {
+            path_prefix,
+            ..kind.clone()
+        });
+    }
+    usual
+}
+
+fn new_cluster(size: usize, trouble: Trouble) -> Cluster {
+    let mut settings = ConfigSettings::default();
+    if trouble.all_poll {
+        settings.pollers_per_zone = usize::MAX;
+    }
+    let mut cluster = Cluster::with_settings(size, settings);
+    if trouble.lost_one_in > 0 {
+        let sent = Cell::new(0_u64);
+        cluster.network.passes = Box::new(move |_, _| {
+            let next = sent
+                .get()
+                .wrapping_mul(6_364_136_223_846_793_005)
+                .wrapping_add(1);
+            sent.set(next);
+            !(next >> 33).is_multiple_of(trouble.lost_one_in)
+        });
+    }
+    cluster
+}
+
+/// Adds up a counter over the daemons.
+fn sum(cluster: &Cluster, name: &'static str) -> f64 {
+    let mut sum = 0;
+    for node in 0..cluster.members.len() {
+        sum += cluster.counted(node, name);
+    }
+    sum as f64
+}
+
+/// Submits changes one after the other, at daemons in turn.
+fn measure(size: usize, changes_per_s: f64, trouble: Trouble) -> Measured {
+    let mut cluster = new_cluster(size, trouble);
+    cluster.run(5 * SECOND_US);
+    let start = Instant::now();
+    let start_us = cluster.network.now_us;
+    let reads = cluster.network.table_reads;
+    let (bytes, messages) = (
+        sum(&cluster, "config_bytes_sent"),
+        sum(&cluster, "config_messages_sent"),
+    );
+    let mut times_ms = Vec::new();
+    for change in 0..CHANGES {
+        let begun_us = cluster.network.now_us;
+        let node = (change as usize * 7) % size;
+        let service = format!("service-{:04}", change % 1_100);
+        let id = format!("c{change}");
+        let records = vec![usual_record(&service, change as u32 % 10)];
+        cluster.submit(node, submission(&id, change, records));
+        if trouble.submitter_pauses && size > 1 {
+            pause_after_write(&mut cluster, node);
+        }
+        let all = cluster.run_until_all_have(change + 1, LATE_US);
+        assert!(all, "not in force: {:?}", cluster.versions());
+        times_ms.push((cluster.network.now_us - begun_us) as f64 / 1_000.0);
+        if trouble.submitter_pauses && size > 1 {
+            cluster.run(PAUSE_US);
+        }
+        let next_us = begun_us + (SECOND_US as f64 / changes_per_s) as u64;
+        cluster.run(next_us.saturating_sub(cluster.network.now_us));
+    }
+    times_ms.sort_by(f64::total_cmp);
+    let seconds = (cluster.network.now_us - start_us) as f64 / SECOND_US as f64;
+    let daemon_seconds = seconds * size as f64;
+    Measured {
+        median_ms: times_ms[times_ms.len() / 2],
+        greatest_ms: times_ms[times_ms.len() - 1],
+        reads_per_s: (cluster.network.table_reads - reads) as f64 / seconds,
+        bytes_per_s: (sum(&cluster, "config_bytes_sent") - bytes) / daemon_seconds,
+        messages_per_s: (sum(&cluster, "config_messages_sent") - messages) / daemon_seconds,
+        work_us_per_change: start.elapsed().as_micros() as f64 / (CHANGES * size as u64) as f64,
+    }
+}
+
+/// Runs until the write took effect and pauses the daemon that sent it.
+fn pause_after_write(cluster: &mut Cluster, node: usize) {
+    let writes = cluster.network.table_writes;
+    cluster
+        .network
+        .run_while(u64::MAX, |network| network.table_writes == writes);
+    let until_us = cluster.network.now_us + PAUSE_US;
+    cluster.network.pause(node, until_us);
+}
+
+/// Measures a daemon that starts among others which have many records.
+fn print_start(records: usize) {
+    let mut cluster = Cluster::new(12);
+    cluster.run(SECOND_US);
+    let mut version = 0;
+    for first in (0..records).step_by(50) {
+        let mut batch = Vec::new();
+        for at in first..(first + 50).min(records) {
+            batch.push(usual_record(&format!("service-{at:04}"), 3));
+        }
+        cluster.submit(0, submission(&format!("c{first}"), version, batch));
+        cluster.run(SECOND_US);
+        version += 1;
+    }
+    for (source, fault) in [
+        ("the table", network::PlatformFault::None),
+        ("a peer", network::PlatformFault::Down),
+    ] {
+        cluster.network.platform_fault = fault;
+        let bytes = sum(&cluster, "config_bytes_sent");
+        let reads = cluster.network.table_reads;
+        let begun_us = cluster.network.now_us;
+        let new = cluster.add();
+        if fault == network::PlatformFault::None {
+            cluster.network.passes = Box::new(move |from, to| from != new && to != new);
+        }
+        let all = cluster.run_until_all_have(version, LATE_US);
+        assert!(all, "not in force: {:?}", cluster.versions());
+        let took_ms = (cluster.network.now_us - begun_us) as f64 / 1_000.0;
+        let bytes = sum(&cluster, "config_bytes_sent") - bytes;
+        let reads = cluster.network.table_reads - reads;
+        let begun = Instant::now();
+        let view = cluster.view(new);
+        let copy_us = begun.elapsed().as_micros();
+        println!(
+            "{} records from {source}: {took_ms:.0} ms, {bytes:.0} B among daemons, {reads} reads, \
+             copied in {copy_us} us",
+            view.records.len()
+        );
+        cluster.network.passes = Box::new(|_, _| true);
+    }
+}
--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -68,6 +68,19 @@
         self.ask_source(context);
     }
 
+    /// Gives up the fetches under way, whose links may be dead.
+    pub(super) fn drop_fetches(&mut self, context: &mut Context<'_>) {
+        self.table_fetch = None;
+        self.peer_fetch = None;
+        self.asks.retain(|ask, purpose| {
+            let is_fetch = matches!(purpose, Purpose::TableFetch | Purpose::PeerFetch);
+            if is_fetch {
+                context.cancel_ask(*ask);
+            }
+            !is_fetch
+        });
+    }
+
     fn ask_table(&mut self, context: &mut Context<'_>) {
         let Some(fetch) = &self.table_fetch else {
             return;
--- a/src/config/message.rs
+++ b/src/config/message.rs
@@ -6,8 +6,8 @@
 use crate::derives::message;
 use crate::ids::ServiceName;
 
-/// The bytes of a message beside the records in it.
-const FRAME_BYTES: usize = 48;
+/// The bytes of a message beside the records in it: its own, the call's frame, link headers.
+const FRAME_BYTES: usize = 120;
 
 /// A configuration message between daemons.
 #[apply(message!)]
--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -48,6 +48,7 @@
     /// After a pause it is not known whether this daemon is behind.
     fn woke(&mut self, context: &mut Context<'_>) {
         self.is_confirmed = false;
+        self.drop_fetches(context);
         self.set_behind(context, self.known_version);
         self.tell_version(context);
         if self.is_poller() {
@@ -129,6 +130,7 @@
         purpose: Purpose,
     ) {
         self.budget.spend(message.link_bytes());
+        count_sent(context, &message);
         let timeout_us = self.settings.ask_timeout_ms * 1_000;
         let ask = context.ask(peer, PeerQuestion::Config(message), timeout_us);
         self.asks.insert(ask, purpose);
@@ -211,6 +213,7 @@
                 Message::Version(self.state.version)
             }
         };
+        count_sent(context, &answer);
         context.answer(inbound, PeerAnswer::Config(answer));
     }
 
@@ -255,3 +258,9 @@
         }
     }
 }
+
+fn count_sent(context: &mut Context<'_>, message: &Message) {
+    let bytes = message.link_bytes() as u64;
+    context.count(Counter::plain("config_messages_sent"));
+    context.count_by(Counter::plain("config_bytes_sent"), bytes);
+}
--- a/tests/config_records.rs
+++ b/tests/config_records.rs
@@ -1,5 +1,8 @@
 //! Records: a bad one is refused as a whole with the field named.
 
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
 #[path = "support/config.rs"]
 mod config;
 #[path = "support/network.rs"]
@@ -8,9 +11,11 @@
 use std::path::PathBuf;
 
 use config::{Cluster, record, submission};
-use dragonflylug::config::{Submission, SubmitOutcome};
+use dragonflylug::config::{Change, Message, RecordForm, StoredRecord, Submission, SubmitOutcome};
+use dragonflylug::peer::PeerQuestion;
 use rstest::rstest;
 use serde_json::Value;
+use tarpc::tokio_serde::{Serializer, formats::Bincode};
 
 /// The bound on the message of one submission.
 const GREATEST_BYTES: usize = 256 * 1024;
@@ -76,3 +81,58 @@
     assert_eq!(error.field, "records");
     assert_eq!(error.problem, "must have at most 262144 bytes together");
 }
+
+/// A message is accounted with at least the bytes that the link's codec gives it.
+fn accounted(message: Message) {
+    let bytes = message.link_bytes();
+    let mut codec = Bincode::<PeerQuestion, PeerQuestion>::default();
+    let question = PeerQuestion::Config(message);
+    let encoded = std::pin::Pin::new(&mut codec).serialize(&question).unwrap();
+    assert!(encoded.len() <= bytes, "{} {bytes}", encoded.len());
+}
+
+fn stored(service: &str) -> StoredRecord {
+    let body = serde_json::to_string(&record(service, 3)).unwrap();
+    StoredRecord {
+        service: service.into(),
+        changed_at: 7,
+        forms: vec![
+            RecordForm {
+                schema_version: 2,
+                body: body.clone(),
+            },
+            RecordForm {
+                schema_version: 1,
+                body,
+            },
+        ],
+    }
+}
+
+fn changes() -> Vec<Change> {
+    let change = Change {
+        version: 7,
+        digest: 9,
+        changed: vec![stored("payouts"), stored("balances")],
+        removed: vec!["receipts".into()],
+    };
+    vec![change.clone(), change]
+}
+
+cases! { accounted:
+    a_version_is_accounted => Message::Version(7),
+    a_question_for_changes_is_accounted => Message::After { version: 7, bytes_max: 9 },
+    changes_are_accounted => Message::Changes { latest: 7, changes: changes() },
+    handed_changes_are_accounted => Message::Push(changes()),
+    a_question_for_records_is_accounted => Message::RecordsAfter {
+        service: Some("a-service-with-quite-a-long-name".into()),
+        bytes_max: 9,
+    },
+    records_are_accounted => Message::Records {
+        version: 7,
+        digest: 9,
+        records: vec![stored("payouts"), stored("balances")],
+        is_last: true,
+    },
+    an_expected_change_is_accounted => Message::Expected,
+}
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -138,7 +138,7 @@
         self.watch.look(&mut self.network);
     }
 
-    /// Runs until each daemon that is up has a version; returns whether that was in time.
+    /// Runs until each daemon that is up and not paused has a version; returns whether that was in time.
     pub fn run_until_all_have(&mut self, version: u64, within_us: u64) -> bool {
         let until_us = self.network.now_us + within_us;
         let watch = &mut self.watch;
@@ -146,7 +146,8 @@
             watch.look(network);
             let mut goes_on = false;
             for (at, node) in network.nodes.iter().enumerate() {
-                goes_on |= node.is_up && watch.versions[at] < version;
+                let runs = node.is_up && node.paused_until_us <= network.now_us;
+                goes_on |= runs && watch.versions[at] < version;
             }
             goes_on
         })
