Add the load tool: open loop, scenarios in JSON, report as text, JSON and SVG

Cause: goodput, verdicts, percentiles and recovery time have to be measured from when requests were due. Ruled out: the runtime's timers as pacer: they are good to a millisecond only, and the bound is 0.45 ms. Change: load::{Scenario, run, Report}, Pacer on a thread of its own, recovery over windows of 500 ms. Seen to fail first: the first histograms clipped each value at 2,047 us, so latency_that_comes_back_late_is_a_long_recovery: left Some(0), right Some(2000) and a uniform phase began one gap late: left 199, right 200 requests.

--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod host;
 pub mod ids;
 pub mod kernel;
+pub mod load;
 pub mod membership;
 pub mod metrics;
 pub mod node;
--- /dev/null
+++ b/src/load/report.rs
@@ -0,0 +1,239 @@
+//! The report on a load.
+
+use macro_rules_attribute::apply;
+
+use super::recovery::{Recovery, within};
+use super::sample::Sample;
+use super::scenario::Scenario;
+use super::tally::{Percentiles, Tally};
+use super::{plot, text};
+use crate::derives::message;
+use crate::ids::Priority;
+use crate::sorted::SortedMap;
+
+/// The length of one entry of the series.
+const SECOND_MS: u64 = 1_000;
+
+/// The report on a load.
+#[apply(message!)]
+pub struct Report {
+    /// The scenario's name.
+    pub scenario: String,
+    /// The scenario's seed.
+    pub seed: u64,
+    /// The length of all phases.
+    pub duration_ms: u64,
+    /// All requests.
+    pub total: Tally,
+    /// The requests of each priority, most important first.
+    pub priorities: Vec<PriorityReport>,
+    /// The requests of each kind.
+    pub kinds: Vec<KindReport>,
+    /// The requests of each phase.
+    pub phases: Vec<PhaseReport>,
+    /// How requests ended.
+    pub verdicts: Vec<VerdictCount>,
+    /// The recovery of all requests and of each priority; empty without a phase of pressure.
+    pub recovery: Vec<Recovery>,
+    /// The series, second by second.
+    pub seconds: Vec<Second>,
+    /// The time by which the load tool itself was late.
+    pub start_late: Percentiles,
+}
+
+/// The requests of one priority.
+#[apply(message!)]
+pub struct PriorityReport {
+    /// The priority.
+    pub priority: Priority,
+    /// Its requests.
+    pub tally: Tally,
+}
+
+/// The requests of one kind.
+#[apply(message!)]
+pub struct KindReport {
+    /// The kind's name.
+    pub name: String,
+    /// Its requests.
+    pub tally: Tally,
+}
+
+/// The requests that were due in one phase.
+#[apply(message!)]
+pub struct PhaseReport {
+    /// The phase's name.
+    pub name: String,
+    /// Its start.
+    pub start_ms: u64,
+    /// Its end.
+    pub end_ms: u64,
+    /// Whether the system was under pressure.
+    pub is_pressure: bool,
+    /// All its requests.
+    pub tally: Tally,
+    /// Its requests of each priority, most important first.
+    pub priorities: Vec<PriorityReport>,
+}
+
+/// How many requests ended in one way.
+#[apply(message!)]
+pub struct VerdictCount {
+    /// The verdict.
+    pub verdict: String,
+    /// The reason.
+    pub reason: String,
+    /// The number of requests.
+    pub count: u64,
+}
+
+/// The requests that were due in one second.
+#[apply(message!)]
+pub struct Second {
+    /// The start of the second.
+    pub start_ms: u64,
+    /// All its requests.
+    pub tally: Tally,
+    /// Whole answers in time for each priority, in the order of the report's priorities.
+    pub good_by_priority: Vec<u64>,
+}
+
+impl Report {
+    /// Makes the report on samples in order of when they were due.
+    pub fn new(scenario: &Scenario, samples: &[Sample]) -> Self {
+        let duration_ms = scenario.duration_ms();
+        let mut report = Self {
+            scenario: scenario.name.clone(),
+            seed: scenario.seed,
+            duration_ms,
+            total: Tally::of(samples.iter(), duration_ms),
+            priorities: by_priority(scenario, samples, duration_ms),
+            kinds: by_kind(scenario, samples, duration_ms),
+            phases: by_phase(scenario, samples),
+            verdicts: count_verdicts(samples),
+            recovery: Vec::new(),
+            seconds: Vec::new(),
+            start_late: Percentiles::of_latencies(
+                samples.iter().map(|sample| sample.start_late_us),
+            ),
+        };
+        report.seconds = by_second(scenario, samples, &report.priorities);
+        report
+            .recovery
+            .extend(Recovery::measure(scenario, samples, None));
+        for of_priority in &report.priorities {
+            let priority = Some(of_priority.priority);
+            let recovery = Recovery::measure(scenario, samples, priority);
+            report.recovery.extend(recovery);
+        }
+        report
+    }
+
+    /// Returns the report as text for people.
+    pub fn text(&self) -> String {
+        text::write(self)
+    }
+
+    /// Returns the report as JSON.
+    pub fn json(&self) -> String {
+        serde_json::to_string_pretty(self).unwrap_or_default()
+    }
+
+    /// Returns a plot of the series as SVG.
+    pub fn svg(&self) -> String {
+        plot::write(self)
+    }
+}
+
+fn by_priority(scenario: &Scenario, samples: &[Sample], duration_ms: u64) -> Vec<PriorityReport> {
+    let mut reports = Vec::new();
+    for priority in Priority::ALL.into_iter().rev() {
+        if scenario.kinds.iter().all(|kind| kind.priority != priority) {
+            continue;
+        }
+        let own = samples
+            .iter()
+            .filter(|sample| scenario.kinds[sample.kind].priority == priority);
+        reports.push(PriorityReport {
+            priority,
+            tally: Tally::of(own, duration_ms),
+        });
+    }
+    reports
+}
+
+fn by_kind(scenario: &Scenario, samples: &[Sample], duration_ms: u64) -> Vec<KindReport> {
+    let mut reports = Vec::new();
+    for (at, kind) in scenario.kinds.iter().enumerate() {
+        let own = samples.iter().filter(|sample| sample.kind == at);
+        reports.push(KindReport {
+            name: kind.name.clone(),
+            tally: Tally::of(own, duration_ms),
+        });
+    }
+    reports
+}
+
+fn by_phase(scenario: &Scenario, samples: &[Sample]) -> Vec<PhaseReport> {
+    let mut reports = Vec::new();
+    let mut start_ms = 0;
+    for phase in &scenario.phases {
+        let end_ms = start_ms + phase.duration_ms;
+        let own = within(samples, start_ms, end_ms);
+        reports.push(PhaseReport {
+            name: phase.name.clone(),
+            start_ms,
+            end_ms,
+            is_pressure: phase.is_pressure,
+            tally: Tally::of(own.iter(), phase.duration_ms),
+            priorities: by_priority(scenario, own, phase.duration_ms),
+        });
+        start_ms = end_ms;
+    }
+    reports
+}
+
+fn count_verdicts(samples: &[Sample]) -> Vec<VerdictCount> {
+    let mut counts = SortedMap::default();
+    for sample in samples {
+        *counts.get_or_insert_with(sample.end, || 0) += 1;
+    }
+    let mut verdicts = Vec::new();
+    for (end, count) in counts.iter() {
+        verdicts.push(VerdictCount {
+            verdict: end.verdict().to_string(),
+            reason: end.reason().to_string(),
+            count: *count,
+        });
+    }
+    verdicts
+}
+
+fn by_second(
+    scenario: &Scenario,
+    samples: &[Sample],
+    priorities: &[PriorityReport],
+) -> Vec<Second> {
+    let mut seconds = Vec::new();
+    let mut start_ms = 0;
+    while start_ms < scenario.duration_ms() {
+        let length_ms = SECOND_MS.min(scenario.duration_ms() - start_ms);
+        let own = within(samples, start_ms, start_ms + length_ms);
+        let mut good_by_priority = Vec::new();
+        for of_priority in priorities {
+            let mut good = 0;
+            for sample in own {
+                let is_own = scenario.kinds[sample.kind].priority == of_priority.priority;
+                good += u64::from(is_own && sample.end == super::End::Good);
+            }
+            good_by_priority.push(good);
+        }
+        seconds.push(Second {
+            start_ms,
+            tally: Tally::of(own.iter(), length_ms),
+            good_by_priority,
+        });
+        start_ms += length_ms;
+    }
+    seconds
+}
