--- a/src/lib.rs
+++ b/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod cli;
 pub mod client;
 pub mod config;
+pub mod fields;
 pub mod headers;
 pub mod host;
 pub mod ids;
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -92,6 +92,7 @@
     own: Member,
     is_stopping: bool,
     tells_soon: bool,
+    changes: u64,
     roster: Roster,
     queue: UpdateQueue,
     budget: Budget,
@@ -114,6 +115,7 @@
             own,
             is_stopping: false,
             tells_soon: false,
+            changes: 0,
             roster,
             queue: UpdateQueue::default(),
             prober: Prober::default(),
@@ -197,8 +199,12 @@
         match self.roster.learn(report, forget_at_us) {
             Learned::Nothing => self.note_known(id, freshness),
             Learned::AddressTaken(other) => self.queue.push(other),
-            Learned::Gone => self.note_gone(context, id, spread),
+            Learned::Gone => {
+                self.changes += 1;
+                self.note_gone(context, id, spread);
+            }
             Learned::Changed { replaced } => {
+                self.changes += 1;
                 if let Some(replaced) = replaced {
                     self.note_gone(context, replaced, spread);
                 }
@@ -308,6 +314,15 @@
         }
     }
 
+    /// Tells others that no target is beside this daemon any more.
+    fn lost_target(&mut self, context: &mut Context<'_>) {
+        if self.own.service.take().is_none() {
+            return;
+        }
+        self.own.slots = 0;
+        self.announce(context);
+    }
+
     fn stop(&mut self, context: &mut Context<'_>) {
         if self.is_stopping {
             return;
@@ -437,6 +452,7 @@
     fn on_notice(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(target) => self.announced_target(context, target),
+            Notice::TargetSilent => self.lost_target(context),
             Notice::StopRequested => self.stop(context),
             Notice::Woke { .. } => self.wake(context),
             Notice::MemberChanged(_) | Notice::MemberGone(_) | Notice::ConfigChanged(_) => {}
