--- a/src/client/exchange.rs
+++ b/src/client/exchange.rs
@@ -77,6 +77,10 @@
         }
         Some("not-run") => read_refusal(&head.headers),
         Some("may-have-run") => read_doubt(&head.headers),
+        None if !head.status.is_server_error() => {
+            let passed = passed_on(&head.headers);
+            Verdict::Ran(Answer::new(head.status.as_u16(), passed, body))
+        }
         _ => broken(),
     };
     reply(&head.headers, verdict)
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -34,6 +34,7 @@
 pub struct Daemon {
     node: Arc<Node>,
     addresses: Addresses,
+    metrics: Arc<Metrics>,
     callers: Vec<Arc<CallerHost>>,
     tasks: Vec<AbortHandle>,
 }
@@ -72,7 +73,7 @@
             settings.operator_address,
             settings.operator_token.clone(),
             Arc::clone(&node),
-            metrics,
+            Arc::clone(&metrics),
         )?;
         let addresses = Addresses {
             caller: caller.local_addr()?,
@@ -94,6 +95,7 @@
         Ok(Self {
             node,
             addresses,
+            metrics,
             callers: vec![callers, targets],
             tasks,
         })
@@ -109,6 +111,11 @@
         &self.node
     }
 
+    /// Returns the daemon's counters.
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.metrics
+    }
+
     /// Begins a planned stop.
     pub fn request_stop(&self) {
         self.node.submit(Input::Notice(Notice::StopRequested));
--- a/src/host/operator.rs
+++ b/src/host/operator.rs
@@ -154,9 +154,11 @@
         if std::io::Read::read_to_string(&mut reader, &mut body).is_err() {
             return Page::error(400, "the body must be UTF-8");
         }
-        let mut submission: Submission = match serde_json::from_str(&body) {
+        let mut submission = match Submission::read(&body) {
             Ok(submission) => submission,
-            Err(error) => return Page::error(400, &error.to_string()),
+            Err(error) => {
+                return Page::error(400, &format!("{}: {}", error.field, error.problem));
+            }
         };
         if let Some(expected) = header(request, "If-Match") {
             let Ok(version) = expected.trim_matches('"').parse() else {
