Adapt the concurrency limit by trials; compare targets that differ

Cause: a target that announces more slots than it can work on was sent all of them, and its queue stood inside the target.

Ways weighed: a limit that follows latency alone cuts a target that is slow for another reason: a third of the speed would cost a third of the slots again. So latency above the floor, or failures, only raise a suspicion; a trial at 80% of the limit is kept only where answers per slot time show no loss, else the next trial waits twice as long.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -182,6 +182,7 @@
 
     /// Takes in the end of a call at the target.
     pub fn finish(&mut self, now_us: u64, call: CallKey, ended: Ended) -> Released {
+        let is_saturated = self.in_flight() >= self.limit.current();
         let Some(running) = self.running.remove(&call) else {
             return Released::default();
         };
@@ -190,6 +191,7 @@
         }
         let elapsed_us = now_us.saturating_sub(running.started_us);
         self.service_time.record(now_us, elapsed_us, ended);
+        self.limit.record(now_us, elapsed_us, ended, is_saturated);
         self.release(now_us)
     }
 
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -20,7 +20,7 @@
 /// The share of a latency that is left after [`LATENCY_FADE_US`] without a new one.
 const LATENCY_FADE_SHARE: f64 = 0.5;
 /// The time over which a latency without a new one loses half of its weight.
-const LATENCY_FADE_US: f64 = 5_000_000.0;
+const LATENCY_FADE_US: f64 = 1_000_000.0;
 /// The least share of successes that a score is divided by.
 const SUCCESS_SHARE_FLOOR: f64 = 0.05;
 
--- a/tests/support/overload.rs
+++ b/tests/support/overload.rs
@@ -155,6 +155,15 @@
         good as f64 / offered.max(1) as f64
     }
 
+    /// Returns the requests that arrived a second.
+    pub fn offered(&self, from: usize, until: usize) -> f64 {
+        let mut offered = 0;
+        for second in &self.seconds[from..until] {
+            offered += second.offered.iter().sum::<u64>();
+        }
+        offered as f64 / (until - from) as f64
+    }
+
     /// Returns the good answers a second.
     pub fn goodput(&self, from: usize, until: usize) -> f64 {
         let mut answered = 0;
