Refuse waiting claims once the table fails

Change: when an insert has used up its attempts, or the table says that it did nothing, all claims that wait are refused at once, and new ones for table_retry_after_ms.

Seen red without the change: claims_that_wait_are_refused_once_the_table_fails, "claim 3, left: None".

--- a/src/run_once/queue.rs
+++ b/src/run_once/queue.rs
@@ -82,6 +82,14 @@
         Some(Batch { change, slots })
     }
 
+    /// Takes the claims that wait to be inserted while the table counts as down.
+    pub(super) fn take_refused(&mut self, now_us: u64) -> Vec<RunSlot> {
+        if now_us >= self.down_until_us {
+            return Vec::new();
+        }
+        self.inserts.drain(..).collect()
+    }
+
     /// Notes that the table is asked for some claims.
     pub(super) fn note_asked(&mut self, ask: AskKey, batch: Batch) {
         self.asked.insert(ask, batch);
--- a/src/run_once/service/claims.rs
+++ b/src/run_once/service/claims.rs
@@ -134,6 +134,12 @@
         self.runs.remove(slot);
     }
 
+    /// For a while claims are refused without asking the table.
+    pub(super) fn note_table_down(&mut self, now_us: u64) {
+        let retry_after_us = u64::from(self.settings.table_retry_after_ms) * 1_000;
+        self.queue.down_until_us = now_us + retry_after_us;
+    }
+
     /// The table does not answer: refuses at once, and keeps the claim in case the insert counts.
     pub(super) fn give_up(&mut self, context: &mut Context<'_>, slot: RunSlot) {
         let Some(run) = self.runs.get(slot) else {
--- a/src/run_once/service/table.rs
+++ b/src/run_once/service/table.rs
@@ -20,6 +20,9 @@
 impl RunOnce {
     /// Asks the table for the claims that wait, within the bound on requests at once.
     pub(super) fn ask_table(&mut self, context: &mut Context<'_>) {
+        for slot in self.queue.take_refused(context.now_us()) {
+            self.give_up(context, slot);
+        }
         while self.queue.requests() < self.settings.claim_requests_max {
             let batch_max = self.settings.claim_batch_max;
             let Some(batch) = self.queue.next_batch(context.now_us(), batch_max) else {
@@ -58,9 +61,8 @@
         let Some(batch) = self.queue.take_asked(ask) else {
             return;
         };
-        if result.is_err() {
-            let retry_after_us = u64::from(self.settings.table_retry_after_ms) * 1_000;
-            self.queue.down_until_us = context.now_us() + retry_after_us;
+        if result == Err(PlatformError::NotDone) {
+            self.note_table_down(context.now_us());
         }
         let mut again = Vec::new();
         for (at, slot) in batch.slots.into_iter().enumerate() {
@@ -175,6 +177,7 @@
         if claim.attempts < attempts_max {
             return Insert::Undecided;
         }
+        self.note_table_down(context.now_us());
         self.give_up(context, slot);
         Insert::Decided
     }
@@ -195,6 +198,7 @@
             return;
         }
         if result.is_err() {
+            self.note_table_down(context.now_us());
             self.give_up(context, slot);
         }
         self.queue.push_release(slot);
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -199,6 +199,20 @@
     a_slow_table_delays_a_claim => (PlatformFault::Slow(300_000), true, "ran"),
 }
 
+#[test]
+fn claims_that_wait_are_refused_once_the_table_fails() {
+    let mut net = nodes(1);
+    net.platform_fault = PlatformFault::AnswerLost;
+    for at in 1..=3 {
+        call(&mut net, 0, at, claim(&at.to_string(), true));
+    }
+    net.run_until(610_000);
+    let refused = Verdict::not_run(RefusalReason::TableUnavailable, 250);
+    for at in 1..=3 {
+        assert_eq!(verdict(&net, 0, at), Some(refused.clone()), "claim {at}");
+    }
+}
+
 #[test]
 fn a_child_has_one_key_for_each_order() {
     let parent = RunKey::Ticket(Ticket {
