Keep the tickets of a running request's calls, so that their repeats can run once

Cause: a call that a target repeats while it works on a request that runs once got a new ticket each time.

Ruled out: a claim derived from the parent's key (child_key): it needs the table at every hop, so no such call could run in an outage of the platform.

Change: the run of the parent keeps the ticket of each named call until it ends; the first ticket stays, also where two copies race for one; one whose issuer said "not run" is forgotten. At most children_max calls are remembered, a further one may not run. This is the state machine's side; the entry role has yet to ask it, so the fault above stands until then.

Measured: a_child_keeps_its_ticket_while_its_parent_runs passes.

--- a/src/run_once/run.rs
+++ b/src/run_once/run.rs
@@ -4,6 +4,7 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::Ticket;
 use super::claim::{ClaimName, ClaimProgress};
 use super::service::answer_bytes;
 use crate::ids::{CallKey, RequestId};
@@ -53,6 +54,8 @@
     /// Whether each copy so far was a caller's first try.
     pub(super) is_first_try: bool,
     pub(super) claim: Option<ClaimProgress>,
+    /// The tickets of the calls that the request makes while it runs.
+    pub(super) children: SortedMap<RequestId, Ticket>,
     kept: Option<Kept>,
 }
 
@@ -94,6 +97,7 @@
             waiting: Vec::new(),
             is_first_try: true,
             claim: None,
+            children: SortedMap::default(),
             kept: None,
         }
     }
@@ -198,6 +202,7 @@
             return;
         };
         run.state = state;
+        run.children = SortedMap::default();
         let bytes = run.bytes();
         self.kept_bytes += bytes;
         if let Some(kept) = &mut run.kept {
--- a/src/run_once/service.rs
+++ b/src/run_once/service.rs
@@ -1,5 +1,6 @@
 //! The run-once service: tickets issued and void, and what is kept of runs.
 
+mod children;
 mod claims;
 mod settle;
 mod table;
--- a/src/run_once/settings.rs
+++ b/src/run_once/settings.rs
@@ -23,6 +23,8 @@
     pub ticket_ranges_max: usize,
     /// The greatest number of calls that wait for one run.
     pub joined_calls_max: usize,
+    /// The greatest number of calls of one running request whose tickets are remembered.
+    pub children_max: usize,
     /// The time allowed for one request to the platform's table.
     pub claim_timeout_ms: u64,
     /// The number of times that a claim whose answer was lost is sent.
@@ -48,6 +50,7 @@
             ticket_block_max: 64,
             ticket_ranges_max: 4_096,
             joined_calls_max: 64,
+            children_max: 1_024,
             claim_timeout_ms: 300,
             claim_attempts_max: 2,
             claim_batch_max: 64,
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -56,6 +56,7 @@
     bound("run_once.ticket_block_max", 1, 65_535),
     bound("run_once.ticket_ranges_max", 1, 1_000_000),
     bound("run_once.joined_calls_max", 1, 100_000),
+    bound("run_once.children_max", 1, 100_000),
     bound("run_once.claim_timeout_ms", 10, 60_000),
     bound("run_once.claim_attempts_max", 1, 10),
     bound("run_once.claim_batch_max", 1, 1_000),
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -213,6 +213,43 @@
     }
 }
 
+/// A request that runs, and the tickets that its calls may use.
+fn running_parent() -> (RunOnce, CallKey, [Ticket; 3]) {
+    let settings = RunOnceSettings {
+        children_max: 1,
+        ..RunOnceSettings::default()
+    };
+    let mut run_once = RunOnce::new(settings, MemberId(1));
+    let own = run_once.issue(0, 1).tickets[0];
+    let parent = CallKey(1);
+    run_once.begin_ticket(0, parent, own, ID);
+    let ticket = |sequence| Ticket {
+        issuer: MemberId(2),
+        sequence,
+    };
+    (run_once, parent, [0, 1, 2].map(ticket))
+}
+
+#[test]
+fn a_child_keeps_its_ticket_while_its_parent_runs() {
+    let (mut run_once, parent, [first, second, third]) = running_parent();
+    assert_eq!(run_once.keep_child_ticket(parent, ID, first), None);
+    assert!(run_once.mark_sent(parent));
+    assert_eq!(run_once.keep_child_ticket(parent, ID, first), Some(first));
+    assert_eq!(run_once.keep_child_ticket(parent, ID, second), Some(first));
+    assert_eq!(run_once.child_ticket(parent, ID), Some(first));
+    assert_eq!(
+        run_once.keep_child_ticket(parent, RequestId(2), third),
+        None
+    );
+    run_once.drop_child_ticket(parent, ID, second);
+    assert_eq!(run_once.child_ticket(parent, ID), Some(first));
+    run_once.drop_child_ticket(parent, ID, first);
+    assert_eq!(run_once.keep_child_ticket(parent, ID, second), Some(second));
+    run_once.complete(1, parent, Verdict::Ran(ok_answer()));
+    assert_eq!(run_once.child_ticket(parent, ID), None);
+}
+
 #[test]
 fn a_child_has_one_key_for_each_order() {
     let parent = RunKey::Ticket(Ticket {
