Name claims by caller and service, and unnamed requests by their content

Cause: a claim was named by the caller's idempotency key alone, and a request without an identifier by its key alone. Two callers that choose the same key, or one that uses a key again for another request, would get the first one's answer.

Change: scoped_key puts caller and service into the key; request_with_content derives the identifier from the key, method, path and body, so that other content under a used key gets a doubt and never another's answer. The entry role has yet to use both.

Seen red: without the length of the caller's name in the key, names_that_run_together_stay_apart.

--- a/src/run_once.rs
+++ b/src/run_once.rs
@@ -15,8 +15,8 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::{message, value};
-use crate::ids::{CallKey, MemberId, RequestId, ServiceName};
-use crate::request::{ClaimKey, RunKey};
+use crate::ids::{CallKey, Caller, MemberId, RequestId, ServiceName};
+use crate::request::{ClaimKey, HttpRequest, RunKey};
 use crate::verdict::{Doubt, DoubtReason, Refusal, Verdict};
 
 pub use claim::ClaimHolder;
@@ -129,6 +129,20 @@
     })
 }
 
+/// Returns the key as daemons use it: a claim counts for its caller and its service only.
+///
+/// Two callers that happen to choose the same idempotency key never get each other's answer.
+pub fn scoped_key(key: &RunKey, caller: &Caller, service: &ServiceName) -> RunKey {
+    let RunKey::Claim(claim) = key else {
+        return key.clone();
+    };
+    let (caller, service) = (caller.as_str(), service.as_str());
+    RunKey::Claim(ClaimKey {
+        key: format!("{}/{caller}/{service}/{}", caller.len(), claim.key),
+        is_first_try: claim.is_first_try,
+    })
+}
+
 /// Returns the identifier of a request that names none: the same for each try with the same key.
 pub fn request_of(key: &RunKey) -> Option<RequestId> {
     let text = match key {
@@ -139,6 +153,18 @@
     Some(RequestId(xxhash_rust::xxh3::xxh3_64(text.as_bytes())))
 }
 
+/// Returns the identifier of a request that names none: the same for each try with the same key and
+/// the same content.
+///
+/// A key that is used again for another request then gets a doubt and not the first one's answer.
+pub fn request_with_content(key: &RunKey, http: &HttpRequest) -> Option<RequestId> {
+    let RequestId(seed) = request_of(key)?;
+    let line = format!("{} {}\n", http.method, http.path);
+    let line_digest = xxhash_rust::xxh3::xxh3_64_with_seed(line.as_bytes(), seed);
+    let digest = xxhash_rust::xxh3::xxh3_64_with_seed(&http.body, line_digest);
+    Some(RequestId(digest))
+}
+
 /// Returns the verdict of a refusal by a daemon that does not hold the key of the request.
 ///
 /// Another copy of the request may run elsewhere, so only a request without a key and the first
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -12,7 +12,10 @@
 use dragonflylug::ids::{CallKey, MemberId, RequestId};
 use dragonflylug::kernel::Event;
 use dragonflylug::request::RunKey;
-use dragonflylug::run_once::{Begin, RunOnce, RunOnceSettings, Ticket, VoidOutcome, child_key};
+use dragonflylug::run_once::{
+    Begin, RunOnce, RunOnceSettings, Ticket, VoidOutcome, child_key, request_with_content,
+    scoped_key,
+};
 use dragonflylug::verdict::{DoubtReason, RefusalReason, Verdict};
 use network::{PlatformFault, ok_answer};
 use runner::{call, claim, nodes, refusal, runs, ticket, verdict};
@@ -213,6 +216,47 @@
     }
 }
 
+/// Two requests with the same idempotency key: who sent them, to what, and what they ask for.
+struct Twins {
+    callers: [&'static str; 2],
+    services: [&'static str; 2],
+    paths: [&'static str; 2],
+    are_same: bool,
+}
+
+fn check_twins(twins: Twins) {
+    let name = |at: usize| {
+        let (caller, service) = (twins.callers[at].into(), twins.services[at].into());
+        let key = scoped_key(&claim("k", at == 0), &caller, &service);
+        let sent = runner::request(twins.paths[at], RunKey::None);
+        request_with_content(&key, &sent.http).expect("a key")
+    };
+    assert_eq!(name(0) == name(1), twins.are_same);
+}
+
+const SAME: Twins = Twins {
+    callers: ["clerk", "clerk"],
+    services: ["payouts", "payouts"],
+    paths: ["/pay", "/pay"],
+    are_same: true,
+};
+
+cases! { check_twins:
+    a_repeat_is_the_same_request => SAME,
+    another_caller_means_another_request => Twins {
+        callers: ["clerk", "mosque"], are_same: false, ..SAME
+    },
+    another_service_means_another_request => Twins {
+        services: ["payouts", "receipts"], are_same: false, ..SAME
+    },
+    another_content_means_another_request => Twins {
+        paths: ["/pay", "/pay?twice"], are_same: false, ..SAME
+    },
+    names_that_run_together_stay_apart => Twins {
+        callers: ["a/b", "a"], services: ["c", "b/c"], are_same: false, ..SAME
+    },
+}
+
 /// A request that runs, and the tickets that its calls may use.
 fn running_parent() -> (RunOnce, CallKey, [Ticket; 3]) {
     let settings = RunOnceSettings {
