Let daemons hand on the first change that they find in the table

Cause: with 300 daemons and the submitter paused, the first change took 3,072 ms: those who found it in the table took all records, kept no change to hand on, and the others had to find a peer that has it. Change: a daemon to which the table or a peer said that there is nothing yet fetches changes from then on. A new version is told to the next two daemons of the zone, so that a paused one hides none. Ruled out: handing all records over unasked.

--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -158,7 +158,7 @@
                 self.adopt(context, *state);
                 self.caught_up();
             }
-            Step::Nothing => self.needs_whole &= self.state.version == 0,
+            Step::Nothing => self.needs_whole = false,
             Step::Failed => self.fetch_failed(context, source),
         }
         false
--- a/src/config/roster.rs
+++ b/src/config/roster.rs
@@ -109,7 +109,7 @@
     /// Returns the daemons that are told of a new version: the next one in the availability zone,
     /// so that each daemon is next to one, and some at random.
     pub(super) fn told(&self, count: usize, rng: &mut impl RngExt) -> Vec<SocketAddr> {
-        let mut told: Vec<SocketAddr> = next(&self.zone, place(self.own_id)).into_iter().collect();
+        let mut told = next(&self.zone, place(self.own_id), count / 2);
         for _ in 0..count * PICKS {
             if told.len() >= count {
                 break;
@@ -133,11 +133,20 @@
     ring.entry_at(at).map(|(_, address)| *address)
 }
 
-fn next(ring: &Ring, own: (u64, MemberId)) -> Option<SocketAddr> {
+fn next(ring: &Ring, own: (u64, MemberId), count: usize) -> Vec<SocketAddr> {
+    let mut later = Vec::new();
+    let mut earlier = Vec::new();
     for (other, address) in ring.iter() {
-        if *other > own {
-            return Some(*address);
+        let found = if *other > own {
+            &mut later
+        } else {
+            &mut earlier
+        };
+        if found.len() < count {
+            found.push(*address);
         }
     }
-    ring.entry_at(0).map(|(_, address)| *address)
+    later.extend(earlier);
+    later.truncate(count);
+    later
 }
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -42,6 +42,21 @@
     a_change_is_in_force_at_a_hundred_daemons => 100,
 }
 
+#[test]
+fn the_first_change_spreads_from_the_daemons_that_find_it_in_the_table() {
+    let mut cluster = Cluster::new(300);
+    cluster.run(SECOND_US);
+    cluster.submit_one(0, "c1", 0, 3);
+    let is_written = cluster
+        .network
+        .run_while(u64::MAX, |network| network.table_writes == 0);
+    assert!(is_written);
+    let until_us = cluster.network.now_us + 10 * SECOND_US;
+    cluster.network.pause(0, until_us);
+    let all = cluster.run_until_all_have(1, IN_FORCE_US);
+    assert!(all, "versions {:?}", cluster.versions());
+}
+
 fn accepted(version: u64) -> SubmitOutcome {
     SubmitOutcome::Accepted { version }
 }
