Add a script that measures what the daemons add to a call

Cause: the bound of 0.45 ms for 99 in 100 needs a measurement that can be run again. Ruled out: one block for each path: what the machine does meanwhile would count as the daemons' time.

--- /dev/null
+++ b/examples/added_latency.rs
@@ -0,0 +1,200 @@
+//! Measures what the daemons add to a call: direct against through, in blocks that take turns.
+//!
+//! Example: `added_latency DIRECT_URL THROUGH_URL BLOCKS RATE [RATE ...]`
+//!
+//! Each block lasts a second; the order is direct, through, through, direct, and so on. The direct
+//! blocks are split in two halves that are held against each other: this is the machine's noise.
+
+use std::cell::RefCell;
+use std::error::Error;
+use std::rc::Rc;
+use std::time::{Duration, Instant};
+
+use bytes::Bytes;
+use dragonflylug::load::Pacer;
+use hdrhistogram::Histogram;
+use http_body_util::{BodyExt, Full};
+use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::{Request, Uri};
+use hyper_util::rt::TokioIo;
+use tokio::net::TcpStream;
+use tokio::task::{JoinSet, LocalSet};
+
+const USAGE: &str = "usage: added_latency DIRECT_URL THROUGH_URL BLOCKS RATE [RATE ...]";
+
+/// The length of a block.
+const BLOCK_US: u64 = 1_000_000;
+
+/// The calls at the start of each path that are not counted.
+const WARM_UP_CALLS: usize = 200;
+
+/// The time after which a call counts as failed.
+const TIMEOUT: Duration = Duration::from_secs(5);
+
+const BODY: &[u8] = b"a small body of an ordinary lookup call";
+
+/// A path under measurement with its kept connections.
+struct Probe {
+    uri: Uri,
+    idle: RefCell<Vec<SendRequest<Full<Bytes>>>>,
+    failed: RefCell<u64>,
+}
+
+impl Probe {
+    fn new(url: &str) -> Result<Rc<Self>, Box<dyn Error>> {
+        Ok(Rc::new(Self {
+            uri: url.parse()?,
+            idle: RefCell::default(),
+            failed: RefCell::default(),
+        }))
+    }
+
+    async fn connect(&self) -> Result<SendRequest<Full<Bytes>>, Box<dyn Error>> {
+        let authority = self.uri.authority().ok_or("the URL has no address")?;
+        let stream = TcpStream::connect(authority.as_str()).await?;
+        stream.set_nodelay(true)?;
+        let (sender, connection) = handshake(TokioIo::new(stream)).await?;
+        tokio::task::spawn_local(connection);
+        Ok(sender)
+    }
+
+    async fn call(&self) -> Result<(), Box<dyn Error>> {
+        let kept = self.idle.borrow_mut().pop();
+        let mut sender = match kept {
+            Some(sender) if sender.is_ready() => sender,
+            _ => self.connect().await?,
+        };
+        let path = self.uri.path_and_query().map_or("/", |path| path.as_str());
+        let request = Request::put(path)
+            .header("host", "loopback")
+            .body(Full::new(Bytes::from_static(BODY)))?;
+        let response = sender.send_request(request).await?;
+        let is_ok = response.status().is_success();
+        let body = response.into_body().collect().await?.to_bytes();
+        self.idle.borrow_mut().push(sender);
+        match is_ok && body == BODY {
+            true => Ok(()),
+            false => Err("not the answer".into()),
+        }
+    }
+
+    async fn call_in_time(&self) -> bool {
+        matches!(tokio::time::timeout(TIMEOUT, self.call()).await, Ok(Ok(())))
+    }
+
+    /// Runs one block and adds its latencies to a histogram.
+    async fn run_block(self: &Rc<Self>, rate_per_s: u64, into: &Rc<RefCell<Histogram<u64>>>) {
+        let mut due_us = Vec::new();
+        for at in 0..rate_per_s {
+            due_us.push(at * BLOCK_US / rate_per_s);
+        }
+        let mut pacer = Pacer::start(due_us.clone());
+        let start = pacer.start_time();
+        let mut running = JoinSet::new();
+        while let Some(at) = pacer.next().await {
+            let due = start + Duration::from_micros(due_us[at]);
+            let (probe, into) = (Rc::clone(self), Rc::clone(into));
+            running.spawn_local(async move { probe.measure(due, &into).await });
+        }
+        while running.join_next().await.is_some() {}
+    }
+
+    async fn measure(&self, due: Instant, into: &RefCell<Histogram<u64>>) {
+        if !self.call_in_time().await {
+            *self.failed.borrow_mut() += 1;
+            return;
+        }
+        let latency_us = u64::try_from(due.elapsed().as_micros()).unwrap_or(u64::MAX);
+        into.borrow_mut().saturating_record(latency_us);
+    }
+}
+
+/// The latencies of one rate.
+struct Measured {
+    direct: [Rc<RefCell<Histogram<u64>>>; 2],
+    through: [Rc<RefCell<Histogram<u64>>>; 2],
+}
+
+impl Measured {
+    fn new() -> Result<Self, Box<dyn Error>> {
+        let make = || -> Result<_, Box<dyn Error>> {
+            let histogram = Histogram::new_with_max(10_000_000, 3)?;
+            Ok(Rc::new(RefCell::new(histogram)))
+        };
+        Ok(Self {
+            direct: [make()?, make()?],
+            through: [make()?, make()?],
+        })
+    }
+
+    fn print(&self, rate_per_s: u64) -> Result<(), Box<dyn Error>> {
+        for quantile in [0.5, 0.9, 0.99] {
+            let at = |histogram: &Histogram<u64>| histogram.value_at_quantile(quantile) as i64;
+            let direct = at(&sum(&self.direct)?);
+            let through = at(&sum(&self.through)?);
+            let halves = at(&self.direct[1].borrow()) - at(&self.direct[0].borrow());
+            println!(
+                "{rate_per_s:>6} {:>5} {direct:>8} {through:>8} {:>8} {:>8}",
+                format!("p{}", quantile * 100.0),
+                through - direct,
+                halves.abs(),
+            );
+        }
+        Ok(())
+    }
+}
+
+fn sum(halves: &[Rc<RefCell<Histogram<u64>>>; 2]) -> Result<Histogram<u64>, Box<dyn Error>> {
+    let mut sum = halves[0].borrow().clone();
+    sum.add(&*halves[1].borrow())?;
+    Ok(sum)
+}
+
+async fn measure(
+    direct: &Rc<Probe>,
+    through: &Rc<Probe>,
+    blocks: usize,
+    rate_per_s: u64,
+) -> Result<(), Box<dyn Error>> {
+    let measured = Measured::new()?;
+    for block in 0..blocks {
+        let half = block % 2;
+        if half == 0 {
+            direct.run_block(rate_per_s, &measured.direct[half]).await;
+            through.run_block(rate_per_s, &measured.through[half]).await;
+        } else {
+            through.run_block(rate_per_s, &measured.through[half]).await;
+            direct.run_block(rate_per_s, &measured.direct[half]).await;
+        }
+    }
+    measured.print(rate_per_s)
+}
+
+async fn run(arguments: &[String]) -> Result<(), Box<dyn Error>> {
+    let [direct, through, blocks, rates @ ..] = arguments else {
+        return Err(USAGE.into());
+    };
+    let (direct, through) = (Probe::new(direct)?, Probe::new(through)?);
+    let blocks: usize = blocks.parse()?;
+    for probe in [&direct, &through] {
+        for _ in 0..WARM_UP_CALLS {
+            probe.call().await?;
+        }
+    }
+    println!(" calls            direct  through    added    noise");
+    println!("   a s              (us)     (us)     (us)     (us)");
+    for rate in rates {
+        measure(&direct, &through, blocks, rate.parse()?).await?;
+    }
+    let failed = (*direct.failed.borrow(), *through.failed.borrow());
+    println!("failed calls: direct {}, through {}", failed.0, failed.1);
+    Ok(())
+}
+
+fn main() -> Result<(), Box<dyn Error>> {
+    let arguments: Vec<String> = std::env::args().skip(1).collect();
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()?;
+    LocalSet::new().block_on(&runtime, run(&arguments))
+}
