Never say "not run" after a try that may have run

Cause: for a request without a key the last try's refusal was the reply, also where an earlier try had been sent and its answer lost. Ruled out: not trying again after a lost answer (that is what retries of idempotent requests are for). Change: the entry daemon remembers the doubt of an earlier try; a later refusal is replied as that doubt, with the refusal's time to come back. Conclusion: the promise holds for requests without a key too.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -13,7 +13,7 @@
 use crate::request::{CallRequest, RunKey};
 use crate::retry::Allowance;
 use crate::sorted::SortedMap;
-use crate::verdict::{DoubtReason, RefusalReason, Verdict};
+use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
 use plan::Plan;
 use tickets::TicketStock;
 
@@ -66,6 +66,8 @@
     tries: Vec<Try>,
     tried: Vec<MemberId>,
     was_sent: bool,
+    /// What an earlier try left open; a later refusal does not undo it.
+    doubt: Option<Doubt>,
 }
 
 /// A question that waits for its answer.
@@ -152,6 +154,7 @@
             tries: Vec::new(),
             tried: Vec::new(),
             was_sent: false,
+            doubt: None,
         };
         self.calls.insert(key, call);
         if is_too_deep {
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -234,6 +234,9 @@
             self.finish(context, key, verdict);
             return;
         }
+        if let Verdict::MayHaveRun(doubt) = &verdict {
+            call.doubt = Some(*doubt);
+        }
         if !call.tries.is_empty() {
             return;
         }
--- a/src/calls/entry/settle.rs
+++ b/src/calls/entry/settle.rs
@@ -49,6 +49,7 @@
             return;
         };
         self.give_up_tries(context, &call);
+        let verdict = call.with_earlier_doubt(verdict);
         let verdict = if call.was_sent || call.is_own_ticket {
             verdict
         } else {
@@ -83,6 +84,24 @@
     }
 }
 
+impl EntryCall {
+    /// What an earlier try left open holds against a later refusal of a request without a key.
+    ///
+    /// The daemon that holds a key knows of all its runs, so its own word stands.
+    fn with_earlier_doubt(&self, verdict: Verdict) -> Verdict {
+        let Some(doubt) = self.doubt.filter(|_| self.run_key == RunKey::None) else {
+            return verdict;
+        };
+        match verdict {
+            Verdict::NotRun(refusal) => {
+                let retry_after_ms = refusal.retry_after_ms;
+                Verdict::may_have_run(doubt.reason, retry_after_ms)
+            }
+            verdict => verdict,
+        }
+    }
+}
+
 /// What was not sent now may have run in an earlier try of the same key.
 fn without_holder(run_key: &RunKey, verdict: Verdict) -> Verdict {
     match verdict {
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -272,3 +272,18 @@
     let further = network.counted(Counter::retried(RetryReason::Refused));
     assert!(further < 30, "{further} further tries");
 }
+
+/// A refusal after a try that may have run must not say that nothing ran.
+#[test]
+fn a_refusal_after_a_lost_answer_does_not_say_not_run() {
+    let mut network = two_guards();
+    network.nodes[1].target = Box::new(|_, _| (TargetOutcome::Lost, 1_000));
+    network.nodes[2].target = Box::new(|_, _| (TargetOutcome::NotSent, 100));
+    for key in 1..30 {
+        let before = runs(&network);
+        let reply = exchange(&mut network, 0, key, request("lookups", "GET", "/free"));
+        let ran = runs(&network) - before;
+        let said_not_run = matches!(reply.verdict, Verdict::NotRun(_));
+        assert!(!said_not_run || ran == 0, "{ran} runs, {reply:?}");
+    }
+}
