Run repeated child calls once; scope keys to caller and service

Cause: a child call that its parent's target repeated got a second ticket; one caller's key gave another its answer; a repeat with a key could be refused for the retry budget though its answer was kept; a daemon stopped before claims that never ran were taken back. Ruled out: claims in the table for child calls (a write for each). Change: the guard keeps the ticket of each named child call of a request that runs once; keys are scoped; keyed repeats are never refused for the budget; a stop waits up to 5 s beyond its linger for the table. Red before, over whole nodes: a_child_that_its_parent_repeats_runs_once: 2 runs, expected 1 another_caller_with_the_same_key_gets_its_own_answer: got /pay/1 a_key_used_again_for_another_request_gets_no_answer: got /pay/1 Measured: the workspace's tests pass with it.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -12,6 +12,7 @@
 use crate::kernel::{Context, Event, Service};
 use crate::request::{CallRequest, RunKey};
 use crate::retry::Allowance;
+use crate::run_once;
 use crate::sorted::SortedMap;
 use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
 use plan::Plan;
@@ -133,7 +134,8 @@
         self.calls.is_empty()
     }
 
-    fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, request: CallRequest) {
+    fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, mut request: CallRequest) {
+        request.run_key = run_once::scoped_key(&request.run_key, &request.caller, &request.service);
         let plan = Plan::new(context, &self.settings, &request);
         let allowance = match plan.open_allowance(context, &request) {
             Ok(allowance) => allowance,
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -155,6 +155,9 @@
             call.allowance
                 .give_back(reply.retries_unspent.min(one.retries_lent));
         }
+        if matches!(verdict, Verdict::NotRun(_)) {
+            self.drop_kept(context, key);
+        }
         if let Some(holder) = reply.holder
             && self.ask_holder(context, key, holder)
         {
--- a/src/calls/entry/plan.rs
+++ b/src/calls/entry/plan.rs
@@ -7,7 +7,7 @@
 use crate::config::{self, Config, Policy};
 use crate::ids::{Priority, RequestId, RootId};
 use crate::kernel::Context;
-use crate::request::CallRequest;
+use crate::request::{CallRequest, RunKey};
 use crate::retry::{self, Allowance, RetryLedger};
 use crate::run_once;
 use crate::verdict::Refusal;
@@ -19,6 +19,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct Plan {
     pub(super) request: RequestId,
+    /// The identifier by which a repeat is recognized, where there is one.
+    pub(super) named: Option<RequestId>,
     pub(super) root: RootId,
     pub(super) depth: u8,
     pub(super) priority: Priority,
@@ -38,13 +40,14 @@
         let parent = find_parent(context, request);
         let named = request
             .request
-            .or_else(|| run_once::request_of(&request.run_key));
+            .or_else(|| run_once::request_with_content(&request.run_key, &request.http));
         let id = named.unwrap_or_else(|| RequestId(context.rng().next_u64()));
         let left_ms = request.deadline_left_ms.unwrap_or(policy.deadline_ms);
         let own_deadline_us = context.now_us() + u64::from(left_ms) * 1_000;
         match parent {
             None => Self {
                 request: id,
+                named,
                 root: RootId(id.0),
                 depth: 0,
                 priority: policy.priority,
@@ -54,6 +57,7 @@
             },
             Some(parent) => Self {
                 request: id,
+                named,
                 root: parent.root,
                 depth: parent.depth.saturating_add(1),
                 priority: parent.priority,
@@ -65,6 +69,8 @@
     }
 
     /// Returns the retries that the call may spend, or why it is refused.
+    ///
+    /// A repeat with a key is never refused: it runs nothing twice and a kept answer is cheap.
     pub(super) fn open_allowance(
         &self,
         context: &mut Context<'_>,
@@ -82,14 +88,19 @@
         let Some(ledger) = context.find::<RetryLedger>(retry::NAME) else {
             return Ok(Allowance::new(0));
         };
-        ledger.open_root(
+        let opened = ledger.open_root(
             now_us,
             &request.caller,
-            request.request,
+            self.named,
             self.policy.retries,
             request.retries_left,
             request.is_repeat,
-        )
+        );
+        let is_keyed = request.run_key != RunKey::None;
+        if opened.is_err() && is_keyed {
+            return Ok(Allowance::new(0));
+        }
+        opened
     }
 }
 
--- a/src/calls/entry/settle.rs
+++ b/src/calls/entry/settle.rs
@@ -134,7 +134,7 @@
     ledger.close_root(
         now_us,
         &call.request.caller,
-        call.request.request,
+        call.plan.named,
         left,
         succeeded,
     );
--- a/src/calls/entry/tickets.rs
+++ b/src/calls/entry/tickets.rs
@@ -2,12 +2,12 @@
 
 use super::attempt::choose_target;
 use super::{Entry, Purpose, Try};
-use crate::ids::{CallKey, ServiceName};
+use crate::ids::{CallKey, RequestId, ServiceName};
 use crate::kernel::{Context, LinkError};
 use crate::peer::{PeerAnswer, PeerQuestion};
 use crate::request::{Rank, RunKey};
 use crate::routing::{self, Router, TryOutcome};
-use crate::run_once::{Ticket, TicketRequest};
+use crate::run_once::{self, RunOnce, Ticket, TicketRequest};
 use crate::sorted::SortedMap;
 use crate::verdict::{RefusalReason, Verdict};
 
@@ -32,18 +32,73 @@
     }
 }
 
+/// A named call of a request that runs at most once.
+#[derive(Clone, Copy, Debug)]
+struct Child {
+    parent: CallKey,
+    request: RequestId,
+}
+
+impl super::EntryCall {
+    /// Returns the names by which a repeat of this child call is recognized.
+    fn child(&self) -> Option<Child> {
+        let parent = self
+            .plan
+            .parent
+            .as_ref()
+            .filter(|parent| parent.is_run_once)?;
+        Some(Child {
+            parent: parent.call,
+            request: self.request.request?,
+        })
+    }
+}
+
 impl Entry {
     /// Gets a ticket: for the caller to send again with, or for a child call to use at once.
     pub(super) fn get_ticket(&mut self, context: &mut Context<'_>, key: CallKey) {
         let Some(call) = self.calls.get_mut(&key) else {
             return;
         };
-        if call.plan.parent.is_some() && self.use_stock(context, key) {
+        let is_child = call.plan.parent.is_some();
+        if is_child && (self.use_kept(context, key) || self.use_stock(context, key)) {
             return;
         }
         self.ask_for_tickets(context, key);
     }
 
+    /// Uses the ticket of an earlier copy of the same child call.
+    fn use_kept(&mut self, context: &mut Context<'_>, key: CallKey) -> bool {
+        let Some(call) = self.calls.get_mut(&key) else {
+            return false;
+        };
+        let run_once = context.find::<RunOnce>(run_once::NAME);
+        let (Some(child), Some(run_once)) = (call.child(), run_once) else {
+            return false;
+        };
+        let Some(ticket) = run_once.child_ticket(child.parent, child.request) else {
+            return false;
+        };
+        call.run_key = RunKey::Ticket(ticket);
+        call.is_own_ticket = false;
+        self.attempt(context, key);
+        true
+    }
+
+    /// Forgets the ticket of a child call that did not run: its next copy gets a new one.
+    pub(super) fn drop_kept(&mut self, context: &mut Context<'_>, key: CallKey) {
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let run_once = context.find::<RunOnce>(run_once::NAME);
+        let (Some(child), Some(run_once)) = (call.child(), run_once) else {
+            return;
+        };
+        if let RunKey::Ticket(ticket) = call.run_key {
+            run_once.drop_child_ticket(child.parent, child.request, ticket);
+        }
+    }
+
     /// Uses a kept ticket whose issuer is still there.
     fn use_stock(&mut self, context: &mut Context<'_>, key: CallKey) -> bool {
         let Some(call) = self.calls.get_mut(&key) else {
@@ -57,8 +112,20 @@
             {
                 continue;
             }
-            call.run_key = RunKey::Ticket(ticket);
-            call.is_own_ticket = true;
+            let run_once = context.find::<RunOnce>(run_once::NAME);
+            let kept = match (call.child(), run_once) {
+                (Some(child), Some(run_once)) => {
+                    run_once.keep_child_ticket(child.parent, child.request, ticket)
+                }
+                _ => Some(ticket),
+            };
+            let Some(kept) = kept else {
+                let verdict = Verdict::not_run(RefusalReason::BadRequest, 0);
+                self.finish(context, key, verdict);
+                return true;
+            };
+            call.run_key = RunKey::Ticket(kept);
+            call.is_own_ticket = kept == ticket;
             self.attempt(context, key);
             return true;
         }
--- a/src/calls/guard/drain.rs
+++ b/src/calls/guard/drain.rs
@@ -3,10 +3,14 @@
 use super::{DRAIN_TIMER, Guard};
 use crate::calls::entry::{self, Entry};
 use crate::kernel::{Context, Effect, StateChange};
+use crate::run_once::{self, RunOnce};
 
 /// The time between two looks whether all work has ended.
 const LOOK_PERIOD_US: u64 = 50_000;
 
+/// The time beyond the linger for which the table may still take back unused claims.
+const CLAIMS_WAIT_US: u64 = 5_000_000;
+
 /// How far a planned stop has come.
 #[derive(Default)]
 pub(super) struct Drain {
@@ -37,7 +41,10 @@
             .find::<Entry>(entry::NAME)
             .map_or(0, |entry| entry.len());
         let in_flight = entry_calls + self.calls.len();
-        if context.now_us() < linger_until_us || in_flight > 0 {
+        let run_once = context.find::<RunOnce>(run_once::NAME);
+        let is_settled = run_once.is_none_or(|run_once| run_once.is_idle())
+            || context.now_us() >= linger_until_us + CLAIMS_WAIT_US;
+        if context.now_us() < linger_until_us || in_flight > 0 || !is_settled {
             context.timer(LOOK_PERIOD_US, DRAIN_TIMER);
             return;
         }
--- a/src/calls/guard/parent.rs
+++ b/src/calls/guard/parent.rs
@@ -1,12 +1,14 @@
 //! What a running request lends to the calls that its target makes.
 
 use super::Guard;
-use crate::ids::{Priority, RequestId, RootId};
+use crate::ids::{CallKey, Priority, RequestId, RootId};
 use crate::request::RunKey;
 
 /// A running request, as its child calls see it.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Parent {
+    /// The call that runs it.
+    pub call: CallKey,
     /// The request.
     pub request: RequestId,
     /// The root of its call graph.
@@ -27,6 +29,7 @@
         let key = self.running.get(&request)?;
         let guard_call = self.calls.get(key)?;
         Some(Parent {
+            call: *key,
             request,
             root: guard_call.call.root,
             depth: guard_call.call.depth,
--- a/tests/run_once_nodes.rs
+++ b/tests/run_once_nodes.rs
@@ -15,10 +15,10 @@
 use dragonflylug::kernel::{CallReply, Event, Notice, TargetOutcome};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::node::make_kernel;
-use dragonflylug::request::{ClaimKey, RunKey};
+use dragonflylug::request::{Answer, ClaimKey, RunKey};
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
-use network::{Network, PlatformFault, ok_answer};
+use network::{ChildCall, Network, PlatformFault, ok_answer};
 use nodes::{SETTLE_US, address, announcement, call, reply, request};
 use rand::{Rng, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -358,6 +358,83 @@
     }
 }
 
+/// A target that makes the same call twice while it works on a request that runs once.
+#[test]
+fn a_child_that_its_parent_repeats_runs_once() {
+    let mut world = World::new(Fault::None, true, 1);
+    let parent = world.guards[0];
+    world
+        .net
+        .notice(parent, Notice::TargetAnnounced(announcement("orders", 8)));
+    let mut child = request(SERVICE, "POST", "/pay/child");
+    child.request = Some(RequestId(77));
+    let child = ChildCall {
+        request: child,
+        names_parent: true,
+    };
+    world.net.nodes[parent].children = vec![child.clone(), child];
+    world.net.run_until(world.net.now_us + SETTLE_US);
+    let mut order = request("orders", "POST", "/order");
+    order.request = Some(RequestId(1));
+    let needed = nodes::exchange(&mut world.net, 0, 1, order.clone());
+    order.run_key = RunKey::Ticket(needed.tickets[0]);
+    let done = nodes::exchange(&mut world.net, 0, 2, order);
+    assert!(matches!(done.verdict, Verdict::Ran(_)), "{done:?}");
+    let mut runs = 0;
+    for node in &world.net.nodes {
+        let children = node
+            .runs
+            .iter()
+            .filter(|(_, http)| http.path == "/pay/child");
+        runs += children.count();
+    }
+    assert_eq!(runs, 1);
+}
+
+/// How a second request uses the idempotency key of a first.
+struct Reuse {
+    caller: &'static str,
+    path: &'static str,
+    answer: Option<&'static str>,
+}
+
+fn check_reuse(reuse: Reuse) {
+    let mut world = World::new(Fault::None, false, 1);
+    for guard in world.guards.clone() {
+        world.net.nodes[guard].target = Box::new(|_, http| {
+            let answer = Answer::new(200, Vec::new(), http.path.clone().into());
+            (TargetOutcome::Answered(answer), 1_000)
+        });
+    }
+    let mut verdicts = Vec::new();
+    for (key, caller, path) in [(1, "clerk", "/pay/1"), (2, reuse.caller, reuse.path)] {
+        let mut sent = request(SERVICE, "POST", path);
+        sent.caller = caller.into();
+        sent.run_key = RunKey::Claim(ClaimKey {
+            key: "k".to_string(),
+            is_first_try: false,
+        });
+        verdicts.push(nodes::exchange(&mut world.net, 0, key, sent).verdict);
+    }
+    let heard = match &verdicts[1] {
+        Verdict::Ran(answer) => Some(std::str::from_utf8(&answer.body).unwrap()),
+        _ => None,
+    };
+    assert_eq!(heard, reuse.answer);
+}
+
+cases! { check_reuse:
+    a_repeat_gets_the_kept_answer => Reuse {
+        caller: "clerk", path: "/pay/1", answer: Some("/pay/1"),
+    },
+    another_caller_with_the_same_key_gets_its_own_answer => Reuse {
+        caller: "mosque", path: "/pay/2", answer: Some("/pay/2"),
+    },
+    a_key_used_again_for_another_request_gets_no_answer => Reuse {
+        caller: "clerk", path: "/pay/2", answer: None,
+    },
+}
+
 cases! { check:
     without_a_fault => Fault::None,
     while_guards_are_killed => Fault::GuardKilled,
