--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -18,6 +18,12 @@
 const TRIAL_PERCENT: u32 = 80;
 /// The goodput of a trial, in percent of that before, that keeps the lower limit.
 const KEPT_GOODPUT_PERCENT: u64 = 92;
+/// The goodput of a trial, in percent of that before, that ends it early as a failure.
+const CLEAR_LOSS_PERCENT: u64 = 86;
+/// The goodput of a trial, in percent of that before, that ends it early as a success.
+const CLEAR_GAIN_PERCENT: u64 = 98;
+/// The calls after which a trial may end early.
+const EARLY_CALLS_MIN: u32 = 50;
 /// The rise of the latency floor, in percent of itself, after each epoch.
 const FLOOR_RISE_PERCENT: u64 = 2;
 /// The wait after a trial before the next step; it doubles while trials fail.
@@ -132,11 +138,24 @@
         epoch.saturated += u32::from(is_saturated);
         let is_long = now_us.saturating_sub(epoch.started_us) > EPOCH_MAX_US;
         let is_full = epoch.calls() >= EPOCH_CALLS_MIN.max(EPOCH_LIMITS * self.limit);
-        if is_long || is_full {
+        if is_long || is_full || self.is_trial_clear() {
             self.end_epoch(now_us);
         }
     }
 
+    /// Says whether a trial shows a clear loss or gain before its epoch is over.
+    fn is_trial_clear(&self) -> bool {
+        let Some(trial) = &self.trial else {
+            return false;
+        };
+        if self.epoch.calls() < EARLY_CALLS_MIN.max(self.limit) {
+            return false;
+        }
+        let goodput = self.epoch.goodput(self.limit) * 100;
+        goodput <= trial.goodput_before * CLEAR_LOSS_PERCENT
+            || goodput >= trial.goodput_before * CLEAR_GAIN_PERCENT
+    }
+
     fn end_epoch(&mut self, now_us: u64) {
         let epoch = std::mem::take(&mut self.epoch);
         let limit = self.next_limit(now_us, &epoch);
--- /dev/null
+++ b/tests/hops.rs
@@ -0,0 +1,65 @@
+//! Two overloaded services that some requests need both: the work wasted on requests that fail
+//! later, with one rank of a root at all hops and with a rank of its own at each.
+
+#[path = "support/overload.rs"]
+mod overload;
+
+use dragonflylug::ids::Priority;
+use overload::{Kind, Report, SECOND_US, Scenario, TargetSpec, run};
+
+const UNTIL: u64 = 6;
+const WORK_US: f64 = 20_000.0;
+/// Two targets of 15 slots for each of the services below.
+const CAPACITY: f64 = 2.0 * 15.0 * 1e6 / WORK_US;
+
+/// A third of the requests needs both services below, a third needs one and a third the other; each
+/// of the two gets twice what it can take.
+fn scenario(shares_rank: bool) -> Scenario {
+    let front = TargetSpec {
+        slots: 300,
+        parallel: 300,
+        work_us: 2_000.0,
+        ..TargetSpec::default()
+    };
+    let below = |service| TargetSpec {
+        service,
+        slots: 15,
+        parallel: 15,
+        work_us: WORK_US,
+        ..TargetSpec::default()
+    };
+    let kind = |service| Kind {
+        service,
+        priority: Priority::Normal,
+        parts: 1,
+        deadline_us: SECOND_US,
+    };
+    Scenario {
+        targets: vec![front, front, below(1), below(1), below(2), below(2)],
+        children: vec![vec![1, 2], Vec::new(), Vec::new()],
+        kinds: vec![kind(0), kind(1), kind(2)],
+        rate: 3.0 * CAPACITY,
+        until_us: UNTIL * SECOND_US,
+        shares_rank,
+        ..Scenario::default()
+    }
+}
+
+fn wasted(report: &Report) -> f64 {
+    report.wasted_us / (report.wasted_us + report.useful_us)
+}
+
+#[test]
+fn the_same_roots_are_shed_at_each_hop() {
+    let shared = run(scenario(true));
+    let own = run(scenario(false));
+    for (name, report) in [("shared rank", &shared), ("rank of each hop", &own)] {
+        println!(
+            "{name}: wasted {:.3}, useful work {:.1} s",
+            wasted(report),
+            report.useful_us / SECOND_US as f64,
+        );
+    }
+    assert!(wasted(&shared) < wasted(&own) / 2.0);
+    assert!(shared.useful_us > own.useful_us);
+}
--- a/tests/overload.rs
+++ b/tests/overload.rs
@@ -22,6 +22,7 @@
 
 fn kinds(deadline_us: u64) -> Vec<Kind> {
     let kind = |priority, parts| Kind {
+        service: 0,
         priority,
         parts,
         deadline_us,
--- a/tests/support/overload.rs
+++ b/tests/support/overload.rs
@@ -69,6 +69,8 @@
 /// A kind of request of the callers.
 #[derive(Clone, Copy)]
 pub struct Kind {
+    /// The service that the callers call.
+    pub service: usize,
     pub priority: Priority,
     /// Its part of all arrivals.
     pub parts: u32,
@@ -91,6 +93,8 @@
     pub admission: Option<AdmissionSettings>,
     /// `None` for random choice.
     pub routing: Option<RoutingSettings>,
+    /// Whether a failure below a target is told from one of the target itself.
+    pub tells_deep_failures: bool,
     /// Whether roots keep their rank at all hops.
     pub shares_rank: bool,
     /// The further tries of an entry for a call.
@@ -111,6 +115,7 @@
             until_us: 10 * SECOND_US,
             admission: Some(AdmissionSettings::default()),
             routing: Some(RoutingSettings::default()),
+            tells_deep_failures: true,
             shares_rank: true,
             retries: 1,
             caller_retries: 0,
@@ -413,7 +418,8 @@
         let attempt = self.requests[request].attempt;
         self.after(left_us, Step::GiveUp(request, attempt));
         let daemon = self.rng.random_range(0..ENTRIES);
-        self.send_call(request, None, 0, daemon);
+        let service = self.scenario.kinds[self.requests[request].kind].service;
+        self.send_call(request, None, service, daemon);
     }
 
     fn send_call(&mut self, request: usize, parent: Option<usize>, service: usize, daemon: usize) {
@@ -468,6 +474,7 @@
         self.calls[call].tried.push(member);
         self.calls[call].target = member.0 as usize;
         self.calls[call].sent_us = self.now_us;
+        self.calls[call].next_child = 0;
         self.report.tries += 1;
         self.after(DELAY_US, Step::AtGuard(call));
     }
@@ -592,8 +599,10 @@
             Guard::Adaptive(admission) => admission.finish(self.now_us, key, ended),
             fixed => fixed.finish_fixed(),
         };
+        let has_failed_below = self.calls[call].next_child > 0;
         let outcome = match ended {
             Ended::Answered => TryOutcome::Answered,
+            _ if has_failed_below && self.scenario.tells_deep_failures => TryOutcome::Refused,
             _ => TryOutcome::TargetError,
         };
         self.reply(call, outcome, false);
--- a/tests/targets.rs
+++ b/tests/targets.rs
@@ -25,6 +25,7 @@
     Scenario {
         targets: case.targets.clone(),
         kinds: vec![Kind {
+            service: 0,
             priority: Priority::Normal,
             parts: 1,
             deadline_us: SECOND_US / 4,
