--- a/src/run_once/service/table.rs
+++ b/src/run_once/service/table.rs
@@ -20,6 +20,9 @@
 impl RunOnce {
     /// Asks the table for the claims that wait, within the bound on requests at once.
     pub(super) fn ask_table(&mut self, context: &mut Context<'_>) {
+        for slot in self.queue.take_refused(context.now_us()) {
+            self.give_up(context, slot);
+        }
         while self.queue.requests() < self.settings.claim_requests_max {
             let batch_max = self.settings.claim_batch_max;
             let Some(batch) = self.queue.next_batch(context.now_us(), batch_max) else {
@@ -58,9 +61,8 @@
         let Some(batch) = self.queue.take_asked(ask) else {
             return;
         };
-        if result.is_err() {
-            let retry_after_us = u64::from(self.settings.table_retry_after_ms) * 1_000;
-            self.queue.down_until_us = context.now_us() + retry_after_us;
+        if result == Err(PlatformError::NotDone) {
+            self.note_table_down(context.now_us());
         }
         let mut again = Vec::new();
         for (at, slot) in batch.slots.into_iter().enumerate() {
@@ -87,7 +89,12 @@
             return None;
         };
         let claim = run.claim.as_mut()?;
-        if run.state != RunState::Pending || claim.is_asked || claim.row != RowState::Unknown {
+        let is_wanted = match run.state {
+            RunState::Pending => true,
+            RunState::Refused(_) => claim.is_in_doubt,
+            _ => false,
+        };
+        if !is_wanted || claim.is_asked || claim.row != RowState::Unknown {
             return None;
         }
         claim.is_asked = true;
@@ -162,11 +169,15 @@
     /// An insert whose answer was lost goes out again under the same nonce, so that one that took
     /// effect is recognized.
     fn lost_insert(&mut self, context: &mut Context<'_>, slot: RunSlot) -> Insert {
-        let claim = self.claim_mut(slot);
-        let attempts = claim.map_or(u32::MAX, |claim| claim.attempts);
-        if attempts < self.settings.claim_attempts_max {
+        let attempts_max = self.settings.claim_attempts_max;
+        let Some(claim) = self.claim_mut(slot) else {
+            return Insert::Decided;
+        };
+        claim.is_in_doubt = true;
+        if claim.attempts < attempts_max {
             return Insert::Undecided;
         }
+        self.note_table_down(context.now_us());
         self.give_up(context, slot);
         Insert::Decided
     }
@@ -187,6 +198,7 @@
             return;
         }
         if result.is_err() {
+            self.note_table_down(context.now_us());
             self.give_up(context, slot);
         }
         self.queue.push_release(slot);
