Spread the rows of members that start together over a minute

Cause: each daemon wrote its row as it started: a zone of 1,417 that restarts would write 1,417 rows in a second or two, where the platform carries several hundred writes a second. Seen before the change: 120 members start together, panicked: 120 rows in one second

Change: where the table shows enough contacts already, the row is written at a random time within a minute; with few rows it is written at once, as others may look for it. The test of a stop now first waits for all 30 rows and then expects 29: it took for granted that rows are written at once.

Ruled out: deciding by the first of the two scans, which begins at a random place and often shows few rows at the zone's end (65 rows in one second).

Measured after: at most 12 of 120 rows in any second, all within 61 s.

--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -15,6 +15,9 @@
 /// The size of the members in one part of the member list.
 const LIST_PART_BYTES: usize = 8_192;
 
+/// The scans of the table in one search for contacts.
+const SCANS_PER_ROUND: u32 = 2;
+
 /// How far a daemon has come with the member list.
 #[derive(Default)]
 pub(super) struct Joining {
@@ -23,6 +26,8 @@
     is_listing: bool,
     is_joined: bool,
     has_row: bool,
+    scans_answered: u32,
+    rows_seen: usize,
     rounds: u32,
     zones: Vec<AvailabilityZone>,
     last_zone: Option<AvailabilityZone>,
@@ -61,7 +66,6 @@
         self.timer(context, phase_us, Tag::Sync);
         self.queue.push(self.own.id);
         self.find_contacts(context);
-        self.write_own_row(context);
     }
 
     /// Reads some rows of the own zone and of others.
@@ -98,6 +102,22 @@
         self.asks.insert(ask, Ask::ReadSnapshot);
     }
 
+    /// Writes the own row at once where few are there, else later: many may start together.
+    fn plan_row(&mut self, context: &mut Context<'_>, rows: usize) {
+        self.joining.scans_answered += 1;
+        self.joining.rows_seen += rows;
+        if self.joining.scans_answered != SCANS_PER_ROUND {
+            return;
+        }
+        if self.joining.rows_seen < self.settings.contacts_max as usize {
+            self.write_own_row(context);
+            return;
+        }
+        let most_us = u64::from(self.settings.row_refresh_ms) * 1_000;
+        let after_us = context.rng().random_range(0..=most_us);
+        self.timer(context, after_us, Tag::Row);
+    }
+
     pub(super) fn write_own_row(&mut self, context: &mut Context<'_>) {
         if self.joining.has_row || self.is_stopping {
             return;
@@ -120,8 +140,14 @@
         result: Result<TableResponse, PlatformError>,
     ) {
         match (ask, result) {
-            (Ask::Scan, Ok(TableResponse::Rows(rows))) => self.scanned(context, &rows),
-            (Ask::Scan, _) => self.read_snapshot(context),
+            (Ask::Scan, Ok(TableResponse::Rows(rows))) => {
+                self.plan_row(context, rows.len());
+                self.scanned(context, &rows);
+            }
+            (Ask::Scan, _) => {
+                self.plan_row(context, 0);
+                self.read_snapshot(context);
+            }
             (Ask::Collect, Ok(TableResponse::Rows(rows))) => self.collect(context, &rows),
             (Ask::WriteRow, Ok(_)) => self.joining.has_row = true,
             (Ask::WriteRow, Err(_)) => {
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -55,6 +55,8 @@
 #[test]
 fn a_stop_is_known_to_all_within_two_seconds() {
     let mut cluster = Cluster::settled(30, 4);
+    cluster.run_for(60 * SECOND_US);
+    assert_eq!(cluster.network.rows.len(), 30);
     cluster.network.notice(7, Notice::StopRequested);
     let all_know = |cluster: &mut Cluster| {
         (0..30).all(|node| cluster.state(node, 7) == Some(MemberState::Leaving))
@@ -377,3 +379,21 @@
         assert!(*sent_bytes.unwrap() <= most_bytes, "{sent_bytes:?}");
     }
 }
+
+#[test]
+fn rows_of_members_that_start_together_are_written_over_a_minute() {
+    let mut cluster = Cluster::settled(60, 4);
+    cluster.run_for(60 * SECOND_US);
+    assert_eq!(cluster.network.rows.len(), 60);
+    let mut rows = cluster.network.rows.len();
+    for _ in 0..120 {
+        cluster.add();
+    }
+    for _ in 0..61 {
+        cluster.run_for(SECOND_US);
+        let written = cluster.network.rows.len() - rows;
+        assert!(written <= 12, "{written} rows in one second");
+        rows += written;
+    }
+    assert_eq!(rows, 180);
+}
