Split the membership service by job

Cause: one file of 554 lines held what a daemon takes in, says of itself and tells. Measured: the 31 cases of tests/membership.rs and 5 of tests/membership_roster.rs pass as before.

--- /dev/null
+++ b/src/membership/service/own.rs
@@ -0,0 +1,79 @@
+//! What this daemon says of itself.
+
+use super::{Member, MemberState, Membership, Spread};
+use crate::kernel::Context;
+use crate::target::Announcement;
+
+impl Membership {
+    /// Says something new of this daemon.
+    pub(super) fn announce(&mut self, context: &mut Context<'_>) {
+        self.own.incarnation += 1;
+        self.roster.learn(self.own.clone(), 0);
+        self.spread(context, self.own.id, Spread::Whole);
+        self.note_changed(context, self.own.id);
+    }
+
+    /// Contradicts a report that this daemon is not what it is.
+    pub(super) fn refute(&mut self, context: &mut Context<'_>, reported: (u32, MemberState)) {
+        if reported <= self.own.freshness() {
+            return;
+        }
+        self.own.incarnation = reported.0;
+        self.announce(context);
+    }
+
+    /// Marks an earlier daemon at this address as gone.
+    pub(super) fn outlive(&mut self, context: &mut Context<'_>, mut earlier: Member) {
+        let is_fresher = (earlier.incarnation, earlier.id) > (self.own.incarnation, self.own.id);
+        earlier.state = MemberState::Gone;
+        let (id, incarnation) = (earlier.id, earlier.incarnation);
+        let is_known = self.roster.gone(id).is_some();
+        self.roster.learn(earlier, self.forget_at_us(context));
+        if !is_known {
+            self.queue.push(id);
+        }
+        if is_fresher {
+            self.own.incarnation = incarnation;
+            self.announce(context);
+        }
+    }
+
+    pub(super) fn announced_target(&mut self, context: &mut Context<'_>, target: Announcement) {
+        let mut own = self.own.clone();
+        own.service = Some(target.service);
+        own.slots = target.slots;
+        own.state = match self.is_stopping || target.is_draining {
+            true => MemberState::Leaving,
+            false => MemberState::Alive,
+        };
+        if own == self.own {
+            return;
+        }
+        let is_leaving = own.state == MemberState::Leaving;
+        self.own = own;
+        self.announce(context);
+        if is_leaving {
+            self.tell_fingers(context);
+        }
+    }
+
+    /// Tells others that no target is beside this daemon any more.
+    pub(super) fn lost_target(&mut self, context: &mut Context<'_>) {
+        if self.own.service.take().is_none() {
+            return;
+        }
+        self.own.slots = 0;
+        self.announce(context);
+    }
+
+    pub(super) fn stop(&mut self, context: &mut Context<'_>) {
+        if self.is_stopping {
+            return;
+        }
+        self.is_stopping = true;
+        self.own.state = MemberState::Leaving;
+        self.announce(context);
+        self.tell_fingers(context);
+        self.delete_own_row(context);
+    }
+}
