Hold unasked messages of the configuration to their rate; split what operators ask

Cause: a byte budget that never went below zero let a message through as soon as one byte was saved up: 288,120 B in 60 s where 8,120 were allowed. Change: the budget of membership, which remembers what was sent too much, in place of a second one; it counts versions that are told and compared, not changes that a peer lacks. Ruled out: counting the changes too: after a large one a daemon would be silent for minutes.

--- a/examples/config_scale.rs
+++ b/examples/config_scale.rs
@@ -1,6 +1,9 @@
 //! Prints how the configuration spreads as daemons and changes grow, in virtual time.
 //!
 //! `cargo run --release --example config_scale -- 3 12 30 100 300 1000`
+//!
+//! Sizes above 1,000 are measured on daemons that know a sample of the others each, without polls:
+//! whole rosters of that many daemons do not fit one machine.
 
 #[allow(missing_docs)]
 #[path = "../tests/support/config.rs"]
@@ -12,14 +15,41 @@
 use std::cell::Cell;
 use std::time::Instant;
 
-use config::{Cluster, record, submission};
-use dragonflylug::config::{ConfigSettings, RequestKind, ServiceRecord};
+use config::{Cluster, offer, record, stored_change, submission};
+use dragonflylug::config::{ConfigSettings, Message, RequestKind, ServiceRecord, rendezvous_hash};
+use dragonflylug::ids::AvailabilityZone;
+use dragonflylug::kernel::Notice;
+use dragonflylug::sorted::SortedMap;
 
 const SECOND_US: u64 = 1_000_000;
 
 /// The changes of one measurement.
 const CHANGES: u64 = 40;
 
+/// The delay of a link between far regions.
+const LONG_LINK_US: u64 = 50_000;
+
+/// The greatest size at which each daemon knows all others.
+const WHOLE_ROSTERS_MAX: usize = 1_000;
+
+/// The daemons that each one knows above that size.
+const SAMPLE: usize = 150;
+
+/// The next daemons of its zone that each one knows above that size.
+const NEXT: usize = 2;
+
+/// The changes measured above that size.
+const SAMPLED_CHANGES: u64 = 5;
+
+/// The steps in which time is told above that size.
+const STEP_US: u64 = 10_000;
+
+/// The daemons over which memory is measured.
+const STARTED: usize = 64;
+
+/// The bytes of a page of memory.
+const PAGE_BYTES: usize = 4_096;
+
 /// The time for which a daemon is paused.
 const PAUSE_US: u64 = 10 * SECOND_US;
 
@@ -38,6 +68,8 @@
     lost_one_in: u64,
     /// Every daemon polls the table.
     all_poll: bool,
+    /// Links take as long as between far regions.
+    links_are_long: bool,
 }
 
 /// What was measured.
@@ -47,17 +79,24 @@
     reads_per_s: f64,
     bytes_per_s: f64,
     messages_per_s: f64,
-    work_us_per_change: f64,
 }
 
 fn main() {
+    print_roster(17_000);
+    for records in [1_100, 300, 100] {
+        print_start(records);
+    }
     let mut sizes = Vec::new();
     for size in std::env::args().skip(1) {
         sizes.extend(size.parse::<usize>());
     }
-    println!("| case | daemons | changes/s | half ms | all ms | reads/s | B/s | messages/s | us |");
-    println!("| --- |{}", " ---: |".repeat(8));
+    println!("| case | daemons | changes/s | half ms | all ms | reads/s | B/s | messages/s |");
+    println!("| --- |{}", " ---: |".repeat(7));
     for size in &sizes {
+        if *size > WHOLE_ROSTERS_MAX {
+            print_sampled(*size);
+            continue;
+        }
         let quiet = Trouble::default();
         print_row("as today", *size, 0.38, quiet);
         print_row("many changes", *size, 10.0, quiet);
@@ -73,6 +112,12 @@
             ..quiet
         };
         print_row("submitter paused", *size, 0.38, found);
+        let links_are_long = true;
+        let far = Trouble {
+            links_are_long,
+            ..quiet
+        };
+        print_row("links of 50 ms", *size, 0.38, far);
         let all_poll = true;
         print_row(
             "every daemon polls",
@@ -81,21 +126,17 @@
             Trouble { all_poll, ..quiet },
         );
     }
-    for records in [100, 300, 1_100] {
-        print_start(records);
-    }
 }
 
 fn print_row(name: &str, size: usize, changes_per_s: f64, trouble: Trouble) {
     let measured = measure(size, changes_per_s, trouble);
     println!(
-        "| {name} | {size} | {changes_per_s} | {:.0} | {:.0} | {:.1} | {:.0} | {:.2} | {:.1} |",
+        "| {name} | {size} | {changes_per_s} | {:.0} | {:.0} | {:.1} | {:.0} | {:.2} |",
         measured.median_ms,
         measured.greatest_ms,
         measured.reads_per_s,
         measured.bytes_per_s,
         measured.messages_per_s,
-        measured.work_us_per_change,
     );
 }
 
@@ -120,6 +161,9 @@
         settings.pollers_per_zone = usize::MAX;
     }
     let mut cluster = Cluster::with_settings(size, settings);
+    if trouble.links_are_long {
+        cluster.network.delay_us = LONG_LINK_US;
+    }
     if trouble.lost_one_in > 0 {
         let sent = Cell::new(0_u64);
         cluster.network.passes = Box::new(move |_, _| {
@@ -147,7 +191,6 @@
 fn measure(size: usize, changes_per_s: f64, trouble: Trouble) -> Measured {
     let mut cluster = new_cluster(size, trouble);
     cluster.run(5 * SECOND_US);
-    let start = Instant::now();
     let start_us = cluster.network.now_us;
     let reads = cluster.network.table_reads;
     let (bytes, messages) = (
@@ -183,7 +226,6 @@
         reads_per_s: (cluster.network.table_reads - reads) as f64 / seconds,
         bytes_per_s: (sum(&cluster, "config_bytes_sent") - bytes) / daemon_seconds,
         messages_per_s: (sum(&cluster, "config_messages_sent") - messages) / daemon_seconds,
-        work_us_per_change: start.elapsed().as_micros() as f64 / (CHANGES * size as u64) as f64,
     }
 }
 
@@ -228,14 +270,141 @@
         let took_ms = (cluster.network.now_us - begun_us) as f64 / 1_000.0;
         let bytes = sum(&cluster, "config_bytes_sent") - bytes;
         let reads = cluster.network.table_reads - reads;
-        let begun = Instant::now();
-        let view = cluster.view(new);
-        let copy_us = begun.elapsed().as_micros();
         println!(
-            "{} records from {source}: {took_ms:.0} ms, {bytes:.0} B among daemons, {reads} reads, \
-             copied in {copy_us} us",
-            view.records.len()
+            "start with {records} records from {source}: {took_ms:.0} ms, \
+             {bytes:.0} B among daemons, {reads} reads"
         );
         cluster.network.passes = Box::new(|_, _| true);
     }
+    print_cost(&mut cluster, records, version);
+}
+
+/// Measures what records cost a daemon: memory, starting, and one more change.
+fn print_cost(cluster: &mut Cluster, records: usize, version: u64) {
+    cluster.run(SECOND_US);
+    cluster.network.platform_fault = network::PlatformFault::None;
+    cluster.network.passes = Box::new(|_, _| false);
+    let before = resident_bytes();
+    let begun = Instant::now();
+    for _ in 0..STARTED {
+        cluster.add();
+    }
+    let all = cluster.run_until_all_have(version, LATE_US);
+    assert!(all, "not in force: {:?}", cluster.versions());
+    let start_us = begun.elapsed().as_micros() as usize / STARTED;
+    let bytes = resident_bytes().saturating_sub(before) / STARTED;
+    let change = vec![usual_record("service-0000", 5)];
+    cluster.submit(0, submission("one-more", version, change));
+    cluster.run(100_000);
+    let Some(change) = stored_change(&cluster.network.rows, version + 1) else {
+        return;
+    };
+    let mut changes_us = Vec::new();
+    for node in 1..12 {
+        let begun = Instant::now();
+        offer(cluster, node, Message::Push(vec![change.clone()]));
+        changes_us.push(begun.elapsed().as_micros());
+    }
+    changes_us.sort_unstable();
+    let change_us = changes_us[changes_us.len() / 2];
+    println!(
+        "cost of {records} records: {bytes} B resident a daemon, start {start_us} us, \
+         a change {change_us} us"
+    );
+}
+
+/// Measures the spread among daemons that know a sample of the others.
+fn print_sampled(size: usize) {
+    let settings = ConfigSettings {
+        poll_period_ms: 3_600_000,
+        ..ConfigSettings::default()
+    };
+    let mut cluster = Cluster::strangers(size, settings);
+    let mut next = 1_u64;
+    for node in 0..size {
+        for _ in 0..SAMPLE {
+            next = next.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+            cluster.introduce(node, (next >> 33) as usize % size);
+        }
+    }
+    introduce_next(&mut cluster);
+    cluster.network.run_until(3 * SECOND_US);
+    let start_us = cluster.network.now_us;
+    let bytes = sum(&cluster, "config_bytes_sent");
+    let messages = sum(&cluster, "config_messages_sent");
+    let mut times_ms = Vec::new();
+    for change in 0..SAMPLED_CHANGES {
+        let begun_us = cluster.network.now_us;
+        let records = vec![usual_record(&format!("service-{change:04}"), 3)];
+        let node = (change as usize * 3_517) % size;
+        cluster.submit(node, submission(&format!("c{change}"), change, records));
+        while cluster
+            .versions()
+            .into_iter()
+            .any(|version| version <= change)
+        {
+            let now_us = cluster.network.now_us;
+            assert!(now_us < begun_us + LATE_US, "not in force");
+            cluster.network.run_until(now_us + STEP_US);
+        }
+        times_ms.push((cluster.network.now_us - begun_us) as f64 / 1_000.0);
+        cluster.network.run_until(begun_us + 2_600_000);
+    }
+    times_ms.sort_by(f64::total_cmp);
+    let seconds = (cluster.network.now_us - start_us) as f64 / SECOND_US as f64;
+    let daemon_seconds = seconds * size as f64;
+    println!(
+        "| sampled, no polls | {size} | 0.38 | {:.0} | {:.0} | - | {:.0} | {:.2} |",
+        times_ms[times_ms.len() / 2],
+        times_ms[times_ms.len() - 1],
+        (sum(&cluster, "config_bytes_sent") - bytes) / daemon_seconds,
+        (sum(&cluster, "config_messages_sent") - messages) / daemon_seconds,
+    );
+}
+
+/// Lets each daemon know the next ones of its availability zone, as a whole roster would.
+fn introduce_next(cluster: &mut Cluster) {
+    let mut order: Vec<usize> = (0..cluster.members.len()).collect();
+    order.sort_by_key(|at| rendezvous_hash(cluster.members[*at].id));
+    let mut zones: SortedMap<AvailabilityZone, Vec<usize>> = SortedMap::default();
+    for node in order {
+        let zone = cluster.members[node].availability_zone.clone();
+        zones.get_or_insert_with(zone, Vec::new).push(node);
+    }
+    for zone in zones.values() {
+        for (place, node) in zone.iter().enumerate() {
+            for next in 1..=NEXT {
+                cluster.introduce(*node, zone[(place + next) % zone.len()]);
+            }
+        }
+    }
+}
+
+/// Measures the roster of one daemon.
+fn print_roster(members: usize) {
+    let mut cluster = Cluster::strangers(1, ConfigSettings::default());
+    let mut others = Vec::new();
+    for at in 0..members {
+        let mut other = cluster.members[0].clone();
+        other.id.0 = at as u64 * 7_919;
+        others.push(other);
+    }
+    let before = resident_bytes();
+    let begun = Instant::now();
+    for other in others.drain(..) {
+        cluster.network.notice(0, Notice::MemberChanged(other));
+    }
+    let took_us = begun.elapsed().as_micros() as f64 / members as f64;
+    let grown = resident_bytes().saturating_sub(before);
+    println!("roster of {members}: {grown} B more resident, {took_us:.2} us for each member");
+}
+
+/// Returns the memory of this process.
+fn resident_bytes() -> usize {
+    let text = std::fs::read_to_string("/proc/self/statm").unwrap_or_default();
+    let pages = text
+        .split(' ')
+        .nth(1)
+        .and_then(|pages| pages.parse::<usize>().ok());
+    pages.unwrap_or(0) * PAGE_BYTES
 }
--- a/src/config.rs
+++ b/src/config.rs
@@ -1,9 +1,9 @@
 //! Configuration: records of the operators, their versions and their spread.
 
-mod budget;
 mod catch_up;
 mod fetch;
 mod message;
+mod operators;
 mod record;
 mod roster;
 mod rows;
@@ -12,9 +12,11 @@
 mod settings;
 mod spread;
 mod state;
+mod submission;
 mod submit;
 
 pub use message::Message;
+pub use roster::rendezvous_hash;
 pub use schema::{RecordForm, SCHEMA_VERSION_MAX, SCHEMA_VERSION_MIN};
 pub use service::Config;
 pub use settings::ConfigSettings;
--- a/src/config/roster.rs
+++ b/src/config/roster.rs
@@ -32,10 +32,14 @@
 /// Addresses in the order of the rendezvous hash.
 type Ring = SortedMap<(u64, MemberId), SocketAddr>;
 
-/// Returns the place of a daemon in the order of the rendezvous hash.
+/// Returns the hash by which daemons are ordered: the lowest of an availability zone poll the
+/// table, and each tells the next ones of its zone about a new version.
+pub fn rendezvous_hash(id: MemberId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED)
+}
+
 fn place(id: MemberId) -> (u64, MemberId) {
-    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED);
-    (hash, id)
+    (rendezvous_hash(id), id)
 }
 
 impl Roster {
--- a/src/config/service.rs
+++ b/src/config/service.rs
@@ -3,21 +3,20 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use super::budget::ByteBudget;
 use super::fetch::Fetch;
 use super::roster::Roster;
 use super::state::{Change, Misfit, Readings, RecentChanges, State, Unreadable};
-use super::submit::{Submit, SubmitStep};
-use super::{ConfigSettings, ConfigView, NAME, Policy, Submission, SubmitOutcome};
-use crate::ids::{AskKey, AvailabilityZone, CallKey, MemberId, ServiceName};
-use crate::kernel::{Context, Effect, Event, Notice, Service, StateChange};
+use super::submit::Submit;
+use super::{ConfigSettings, ConfigView, NAME, Policy};
+use crate::ids::{AskKey, AvailabilityZone, MemberId, ServiceName};
+use crate::kernel::{Context, Event, Notice, Service, StateChange};
+use crate::membership::Budget;
 use crate::metrics::Counter;
-use crate::operator::{OperatorReply, OperatorRequest};
 use crate::sorted::SortedMap;
 use crate::table::{PlatformError, TableResponse};
 
-/// The delay before a submission asks the table again, for each try so far.
-const SUBMIT_RETRY_US: u64 = 100_000;
+/// The seconds of the rate of unasked bytes that may be sent at once.
+const BURST_S: u32 = 20;
 
 /// Timer tags; a tag from `SUBMIT` on belongs to one submission.
 pub(super) mod tag {
@@ -50,7 +49,7 @@
     pub(super) roster: Roster,
     pub(super) state: State,
     pub(super) recent: RecentChanges,
-    pub(super) budget: ByteBudget,
+    pub(super) budget: Budget,
     pub(super) asks: SortedMap<AskKey, Purpose>,
     pub(super) table_fetch: Option<Fetch>,
     pub(super) peer_fetch: Option<Fetch>,
@@ -65,7 +64,7 @@
     pub(super) is_stopping: bool,
     readings: Readings,
     view: Arc<ConfigView>,
-    submits: SortedMap<u64, Submit>,
+    pub(super) submits: SortedMap<u64, Submit>,
 }
 
 impl Config {
@@ -75,7 +74,7 @@
             roster: Roster::new(own_id, own_zone),
             state: State::default(),
             recent: RecentChanges::default(),
-            budget: ByteBudget::new(settings.bytes_per_s_max),
+            budget: Budget::new(settings.bytes_per_s_max, settings.bytes_per_s_max * BURST_S),
             asks: SortedMap::default(),
             table_fetch: None,
             peer_fetch: None,
@@ -195,92 +194,6 @@
         self.set_push(context);
     }
 
-    fn operator_asked(
-        &mut self,
-        context: &mut Context<'_>,
-        call: CallKey,
-        request: OperatorRequest,
-    ) {
-        match request {
-            OperatorRequest::Records => {
-                let reply = Box::new(OperatorReply::Records((*self.view).clone()));
-                context.emit(Effect::ReplyOperator { call, reply });
-            }
-            OperatorRequest::Submit(submission) => self.begin_submit(context, call, submission),
-        }
-    }
-
-    fn begin_submit(&mut self, context: &mut Context<'_>, call: CallKey, submission: Submission) {
-        if let Err(error) = submission.check(self.settings.schema_version_max) {
-            let outcome = SubmitOutcome::Invalid {
-                field: error.field,
-                problem: error.problem,
-            };
-            reply_submitted(context, call, outcome);
-            return;
-        }
-        let key = context.new_key();
-        let submit = Submit::new(call, submission, self.settings.changes_kept);
-        self.submits.insert(key, submit);
-        self.ask_submit(context, key);
-    }
-
-    fn ask_submit(&mut self, context: &mut Context<'_>, key: u64) {
-        let Some(submit) = self.submits.get(&key) else {
-            return;
-        };
-        let timeout_us = self.settings.table_timeout_ms * 1_000;
-        let ask = context.table(submit.request(), timeout_us);
-        self.asks.insert(ask, Purpose::Submit(key));
-    }
-
-    fn submit_answered(
-        &mut self,
-        context: &mut Context<'_>,
-        key: u64,
-        result: Result<TableResponse, PlatformError>,
-    ) {
-        let oldest_reader = self.roster.schema_version(self.settings.schema_version_max);
-        let Some(submit) = self.submits.get_mut(&key) else {
-            return;
-        };
-        let call = submit.call;
-        match submit.take(result, oldest_reader) {
-            SubmitStep::Ask => self.ask_submit(context, key),
-            SubmitStep::AskLater => {
-                let delay_us = SUBMIT_RETRY_US * u64::from(submit.tries());
-                context.timer(delay_us, tag::SUBMIT + key);
-            }
-            SubmitStep::Reply(outcome) => {
-                self.submits.remove(&key);
-                self.note_outcome(context, &outcome);
-                reply_submitted(context, call, outcome);
-            }
-            SubmitStep::Accepted(change) => {
-                self.submits.remove(&key);
-                let version = change.version;
-                let applied = self.apply(context, vec![change]);
-                let outcome = SubmitOutcome::Accepted { version };
-                if applied.is_err() {
-                    self.note_outcome(context, &outcome);
-                }
-                reply_submitted(context, call, outcome);
-            }
-        }
-    }
-
-    /// An outcome tells of a version that this daemon may not have.
-    fn note_outcome(&mut self, context: &mut Context<'_>, outcome: &SubmitOutcome) {
-        let (SubmitOutcome::Accepted { version } | SubmitOutcome::Conflict { version }) = outcome
-        else {
-            return;
-        };
-        if *version > self.state.version {
-            self.set_behind(context, *version);
-            self.fetch_table(context);
-        }
-    }
-
     fn table_answered(
         &mut self,
         context: &mut Context<'_>,
@@ -295,19 +208,6 @@
     }
 }
 
-fn reply_submitted(context: &mut Context<'_>, call: CallKey, outcome: SubmitOutcome) {
-    let name = match outcome {
-        SubmitOutcome::Accepted { .. } => "accepted",
-        SubmitOutcome::Conflict { .. } => "conflict",
-        SubmitOutcome::Invalid { .. } => "invalid",
-        SubmitOutcome::Unavailable => "unavailable",
-        SubmitOutcome::Unknown => "unknown",
-    };
-    context.count(Counter::labelled("config_submissions", "outcome", name));
-    let reply = Box::new(OperatorReply::Submitted(outcome));
-    context.emit(Effect::ReplyOperator { call, reply });
-}
-
 fn tell_unreadable(context: &mut Context<'_>, unreadable: &Unreadable) {
     context.count(Counter::plain("config_unreadable_records"));
     let detail = format!("{}: {}", unreadable.service, unreadable.problem);
--- a/src/config/settings.rs
+++ b/src/config/settings.rs
@@ -26,8 +26,8 @@
     pub behind_max_ms: u64,
     /// The greatest message between daemons, where it holds more than one change or record.
     pub message_bytes_max: u32,
-    /// The rate of bytes that this daemon sends unasked.
-    pub bytes_per_s_max: u64,
+    /// The rate of bytes at which this daemon tells and compares versions unasked.
+    pub bytes_per_s_max: u32,
     /// The changes that the table keeps for daemons that are behind.
     pub changes_kept: u64,
     /// The bytes of recent changes that this daemon keeps for others.
--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -88,9 +88,14 @@
         }
     }
 
+    /// Says whether the rate of unasked bytes has room.
+    fn may_tell(&mut self, context: &Context<'_>) -> bool {
+        self.budget.left_bytes(context.now_us()) > 0
+    }
+
     /// Compares versions with a daemon at random.
     fn exchange(&mut self, context: &mut Context<'_>) {
-        if !self.budget.has_room(context.now_us()) {
+        if !self.may_tell(context) {
             return;
         }
         if let Some(peer) = self.roster.any(context.rng()) {
@@ -107,7 +112,7 @@
     }
 
     fn tell_version(&mut self, context: &mut Context<'_>) {
-        if !self.budget.has_room(context.now_us()) {
+        if !self.may_tell(context) {
             self.is_push_set = true;
             context.timer(BUDGET_WAIT_US, tag::PUSH);
             return;
@@ -119,6 +124,7 @@
 
     fn ask_version(&mut self, context: &mut Context<'_>, peer: SocketAddr) {
         let message = Message::Version(self.state.version);
+        self.budget.spend(message.link_bytes());
         self.ask_peer(context, peer, message, Purpose::Exchange(peer));
     }
 
@@ -129,7 +135,6 @@
         message: Message,
         purpose: Purpose,
     ) {
-        self.budget.spend(message.link_bytes());
         count_sent(context, &message);
         let timeout_us = self.settings.ask_timeout_ms * 1_000;
         let ask = context.ask(peer, PeerQuestion::Config(message), timeout_us);
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -493,3 +493,22 @@
     let config: &mut Config = cluster.config(0);
     assert_eq!(config.version(), 0);
 }
+
+#[test]
+fn what_is_sent_unasked_keeps_to_its_rate() {
+    let settings = ConfigSettings {
+        bytes_per_s_max: 100,
+        exchange_period_ms: 50,
+        ..ConfigSettings::default()
+    };
+    let mut cluster = Cluster::with_settings(2, settings);
+    cluster.run(60 * SECOND_US);
+    let question_bytes = Message::Version(0).link_bytes() as u64;
+    let unasked_max = 100 * (60 + 20) + question_bytes;
+    for node in 0..2 {
+        let bytes = cluster.counted(node, "config_bytes_sent");
+        assert!(bytes <= 2 * unasked_max, "{bytes} {unasked_max}");
+    }
+    cluster.submit_one(0, "c1", 0, 3);
+    assert!(cluster.run_until_all_have(1, IN_FORCE_US));
+}
--- a/tests/support/config.rs
+++ b/tests/support/config.rs
@@ -96,6 +96,32 @@
     }
 
     pub fn add_with(&mut self, settings: ConfigSettings) -> usize {
+        let at = self.add_stranger(settings);
+        for other in 0..at {
+            if self.network.nodes[other].is_up {
+                self.introduce(at, other);
+            }
+            self.introduce(other, at);
+        }
+        at
+    }
+
+    /// Makes daemons that don't know each other.
+    pub fn strangers(count: usize, settings: ConfigSettings) -> Self {
+        let mut cluster = Self::with_settings(0, settings.clone());
+        for _ in 0..count {
+            cluster.add_stranger(settings.clone());
+        }
+        cluster
+    }
+
+    /// Lets a daemon know of another one.
+    pub fn introduce(&mut self, node: usize, other: usize) {
+        let member = self.members[other].clone();
+        self.network.notice(node, Notice::MemberChanged(member));
+    }
+
+    fn add_stranger(&mut self, settings: ConfigSettings) -> usize {
         let at = self.members.len();
         if settings.schema_version_max < self.settings.schema_version_max {
             self.watch.older.push(at);
@@ -114,14 +140,6 @@
         let zone = member.availability_zone.clone();
         kernel.register(Box::new(Config::new(settings, member.id, zone)));
         self.network.add(member.address, kernel);
-        for (other, known) in self.members.iter().enumerate() {
-            if self.network.nodes[other].is_up {
-                let notice = Notice::MemberChanged(known.clone());
-                self.network.notice(at, notice);
-            }
-            self.network
-                .notice(other, Notice::MemberChanged(member.clone()));
-        }
         self.members.push(member);
         at
     }
