--- a/src/run_once/run.rs
+++ b/src/run_once/run.rs
@@ -4,7 +4,9 @@
 
 use slotmap::{SlotMap, new_key_type};
 
+use super::Ticket;
 use super::claim::{ClaimName, ClaimProgress};
+use super::service::answer_bytes;
 use crate::ids::{CallKey, RequestId};
 use crate::sorted::SortedMap;
 use crate::verdict::{Refusal, Verdict};
@@ -52,6 +54,8 @@
     /// Whether each copy so far was a caller's first try.
     pub(super) is_first_try: bool,
     pub(super) claim: Option<ClaimProgress>,
+    /// The tickets of the calls that the request makes while it runs.
+    pub(super) children: SortedMap<RequestId, Ticket>,
     kept: Option<Kept>,
 }
 
@@ -93,6 +97,7 @@
             waiting: Vec::new(),
             is_first_try: true,
             claim: None,
+            children: SortedMap::default(),
             kept: None,
         }
     }
@@ -108,17 +113,10 @@
     }
 
     fn bytes(&self) -> usize {
-        let answer_bytes = match &self.state {
-            RunState::Ended(Verdict::Ran(answer)) => {
-                let mut bytes = answer.body.len();
-                for header in &answer.headers {
-                    bytes += header.name.len() + header.value.len();
-                }
-                bytes
-            }
-            _ => 0,
-        };
-        RUN_BYTES + answer_bytes
+        match &self.state {
+            RunState::Ended(Verdict::Ran(answer)) => RUN_BYTES + answer_bytes(answer),
+            _ => RUN_BYTES,
+        }
     }
 }
 
@@ -204,6 +202,7 @@
             return;
         };
         run.state = state;
+        run.children = SortedMap::default();
         let bytes = run.bytes();
         self.kept_bytes += bytes;
         if let Some(kept) = &mut run.kept {
--- a/src/run_once/settings.rs
+++ b/src/run_once/settings.rs
@@ -9,6 +9,8 @@
 pub struct RunOnceSettings {
     /// The memory for kept verdicts, in bytes.
     pub kept_answers_bytes_max: usize,
+    /// The largest answer that is kept, in bytes.
+    pub kept_answer_bytes_max: usize,
     /// The time that a verdict is kept for repeats.
     pub kept_answer_ttl_ms: u64,
     /// The number of latest tickets that may still be used.
@@ -21,6 +23,8 @@
     pub ticket_ranges_max: usize,
     /// The greatest number of calls that wait for one run.
     pub joined_calls_max: usize,
+    /// The greatest number of calls of one running request whose tickets are remembered.
+    pub children_max: usize,
     /// The time allowed for one request to the platform's table.
     pub claim_timeout_ms: u64,
     /// The number of times that a claim whose answer was lost is sent.
@@ -39,13 +43,15 @@
     fn default() -> Self {
         Self {
             kept_answers_bytes_max: 16 * 1024 * 1024,
+            kept_answer_bytes_max: 1024 * 1024,
             kept_answer_ttl_ms: 600_000,
             open_tickets_max: 65_536,
             open_ticket_ttl_ms: 600_000,
             ticket_block_max: 64,
             ticket_ranges_max: 4_096,
             joined_calls_max: 64,
-            claim_timeout_ms: 500,
+            children_max: 1_024,
+            claim_timeout_ms: 300,
             claim_attempts_max: 2,
             claim_batch_max: 64,
             claim_requests_max: 2,
