--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -124,7 +124,9 @@
 
     fn ask_version(&mut self, context: &mut Context<'_>, peer: SocketAddr) {
         let message = Message::Version(self.state.version);
-        self.budget.spend(message.link_bytes());
+        if !self.budget.spend(context.now_us(), message.link_bytes()) {
+            return;
+        }
         self.ask_peer(context, peer, message, Purpose::Exchange(peer));
     }
 
