--- a/src/cli.rs
+++ b/src/cli.rs
@@ -5,13 +5,13 @@
 
 use bpaf::Bpaf;
 
-/// The arguments of `dragonflylugd`.
-///
 /// Runs the daemon beside one target.
-///
-/// Example: dragonflylugd --settings daemon.json
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(
+    options,
+    version,
+    footer("Example: dragonflylugd --settings daemon.json")
+)]
 pub struct DaemonArguments {
     /// The settings, a JSON file
     #[bpaf(long, short, argument("FILE"))]
@@ -25,15 +25,18 @@
 }
 
 /// The operators' command of dragonflylug, with its load tool.
-///
-/// Example: dragonflylug status --operator 127.0.0.1:8081 --token secret
 #[derive(Clone, Debug, Bpaf)]
-#[bpaf(options, version)]
+#[bpaf(
+    options,
+    version,
+    footer("Example: dragonflylug status --operator 127.0.0.1:8081 --token secret")
+)]
 pub enum Command {
     /// Check settings and records without a daemon
-    ///
-    /// Example: dragonflylug check --settings daemon.json --records records.json
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: dragonflylug check --settings daemon.json --records records.json")
+    )]
     Check {
         /// The settings of a daemon, a JSON file
         #[bpaf(long, argument("FILE"))]
@@ -43,9 +46,12 @@
         records: Option<PathBuf>,
     },
     /// Submit records; the same change submitted again is accepted once
-    ///
-    /// Example: dragonflylug submit --operator 127.0.0.1:8081 --token secret records.json
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer(
+            "Example: dragonflylug submit --operator 127.0.0.1:8081 --token secret records.json"
+        )
+    )]
     Submit {
         /// Where the daemon listens for operators
         #[bpaf(external(operator))]
@@ -55,18 +61,20 @@
         file: PathBuf,
     },
     /// Announce a planned stop of a daemon
-    ///
-    /// Example: dragonflylug stop --operator 127.0.0.1:8081 --token secret
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: dragonflylug stop --operator 127.0.0.1:8081 --token secret")
+    )]
     Stop {
         /// Where the daemon listens for operators
         #[bpaf(external(operator))]
         operator: Operator,
     },
     /// Show the status of a daemon
-    ///
-    /// Example: dragonflylug status --operator 127.0.0.1:8081 --token secret
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: dragonflylug status --operator 127.0.0.1:8081 --token secret")
+    )]
     Status {
         /// Where the daemon listens for operators
         #[bpaf(external(operator))]
@@ -76,9 +84,10 @@
         metrics: bool,
     },
     /// Send an open-loop load and report on it
-    ///
-    /// Example: dragonflylug load --to 127.0.0.1:8080 --svg load.svg scenario.json
-    #[bpaf(command)]
+    #[bpaf(
+        command,
+        footer("Example: dragonflylug load --to 127.0.0.1:8080 --svg load.svg scenario.json")
+    )]
     Load {
         /// The caller address of a daemon; may be given several times
         #[bpaf(long, argument("ADDRESS"), some("at least one --to ADDRESS is needed"))]
@@ -94,9 +103,7 @@
         scenario: PathBuf,
     },
     /// Run the whole path in one process on loopback, with stand-ins, and report on it
-    ///
-    /// Example: dragonflylug demo --seconds 5
-    #[bpaf(command)]
+    #[bpaf(command, footer("Example: dragonflylug demo --seconds 5"))]
     Demo {
         /// The length of each phase
         #[bpaf(long, argument("SECONDS"), fallback(4))]
--- a/tests/interface.rs
+++ b/tests/interface.rs
@@ -184,3 +184,36 @@
         "{error}"
     );
 }
+
+#[rstest]
+#[case::the_command(&[])]
+#[case::check(&["check"])]
+#[case::submit(&["submit"])]
+#[case::stop(&["stop"])]
+#[case::status(&["status"])]
+#[case::load(&["load"])]
+#[case::demo(&["demo"])]
+fn help_has_an_example(#[case] command: &[&str]) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_dragonflylug"))
+        .args(command)
+        .arg("--help")
+        .output()
+        .unwrap();
+    assert!(output.status.success());
+    let text = String::from_utf8(output.stdout).unwrap();
+    assert!(text.contains("Example: dragonflylug"), "{text}");
+}
+
+#[rstest]
+#[case::nothing_to_check(&["check"], "give --settings FILE, --records FILE or both")]
+#[case::records_missing(&["check", "--records", "nothing.json"], "nothing.json")]
+#[case::scenario_missing(&["load", "--to", "127.0.0.1:1", "nothing.json"], "nothing.json: cannot be read")]
+fn a_command_with_unusable_input_ends_with_code_2(#[case] command: &[&str], #[case] message: &str) {
+    let output = std::process::Command::new(env!("CARGO_BIN_EXE_dragonflylug"))
+        .args(command)
+        .output()
+        .unwrap();
+    assert_eq!(output.status.code(), Some(2));
+    let text = String::from_utf8(output.stderr).unwrap();
+    assert!(text.contains(message), "{text}");
+}
