Take the records from peers when many daemons start at once

Cause: each daemon that starts read all records from the table: 9 reads with 1,100 records, so a zone of 1,400 daemons that comes back at once would ask for 12,600 reads where the table gives 2,000 a second. Change: when the table tells of a version that needs all records, they are asked from a peer where one is known; a peer that fails or has nothing sends the next try to the table. Ruled out: peers only: a whole system that restarts would find the records nowhere. Green with either off: all_daemons_are_replaced_at_once, which holds the bound for a full restart.

--- a/src/config/catch_up.rs
+++ b/src/config/catch_up.rs
@@ -117,12 +117,34 @@
         if step == Step::Nothing {
             self.is_confirmed = true;
         }
+        if step == Step::Ask && self.spares_table(context, &fetch) {
+            return;
+        }
         if self.take_step(context, step, "table") {
             self.table_fetch = Some(fetch);
             self.ask_table(context);
         }
     }
 
+    /// Takes all records from a peer, where one is known, when the table told of their version:
+    /// a zone that restarts at once would take up the table's reads.
+    fn spares_table(&mut self, context: &mut Context<'_>, fetch: &Fetch) -> bool {
+        let Some(version) = fetch.wanted_whole() else {
+            return false;
+        };
+        if self.failures > 0 {
+            return false;
+        }
+        let Some(peer) = self.roster.any(context.rng()) else {
+            return false;
+        };
+        self.set_behind(context, version);
+        if self.peer_fetch.is_none() {
+            self.fetch_peer(context, peer);
+        }
+        true
+    }
+
     pub(super) fn peer_fetched(&mut self, context: &mut Context<'_>, message: Option<Message>) {
         let Some(mut fetch) = self.peer_fetch.take() else {
             return;
@@ -131,12 +153,14 @@
             Some(message) => fetch.take_message(message, self.state.version),
             None => Step::Failed,
         };
+        let has_nothing = step == Step::Nothing;
         if self.take_step(context, step, "peer") {
             self.peer_fetch = Some(fetch);
             self.ask_source(context);
             return;
         }
         if self.is_behind() {
+            self.failures += u32::from(has_nothing);
             self.set_retry(context, self.retry_delay_us());
         }
     }
--- a/src/config/fetch.rs
+++ b/src/config/fetch.rs
@@ -91,6 +91,13 @@
         }
     }
 
+    /// Returns the version of the source where all of its records are needed and none is here yet.
+    pub(super) fn wanted_whole(&self) -> Option<u64> {
+        let draft = self.draft.as_ref()?;
+        let is_begun = self.stage == Stage::Records && draft.last_service.is_none();
+        is_begun.then_some(draft.state.version)
+    }
+
     /// Returns what to ask.
     pub(super) fn request(&self, own_version: u64, bytes_max: u32) -> Request {
         let version = self
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -180,6 +180,15 @@
         }
         1
     },
+    all_daemons_are_replaced_at_once => |cluster| {
+        for node in 0..DAEMONS {
+            cluster.kill(node);
+        }
+        for _ in 0..DAEMONS {
+            cluster.add();
+        }
+        1
+    },
     a_daemon_starts_during_the_outage_after_a_change => |cluster| {
         cluster.submit_one(3, "c2", 1, 2);
         cluster.run(IN_FORCE_US);
@@ -494,6 +503,29 @@
     assert_eq!(config.version(), 0);
 }
 
+#[test]
+fn daemons_that_start_together_take_the_records_from_others() {
+    let mut cluster = Cluster::new(DAEMONS);
+    cluster.run(SECOND_US);
+    for version in 0..5 {
+        let mut records = Vec::new();
+        for at in 0..100 {
+            records.push(record(&format!("service-{version}-{at}"), 3));
+        }
+        cluster.submit(0, submission(&format!("c{version}"), version, records));
+        cluster.run(SECOND_US);
+    }
+    assert!(cluster.run_until_all_have(5, IN_FORCE_US));
+    let before = cluster.network.table_reads;
+    let started = 40;
+    for _ in 0..started {
+        cluster.add();
+    }
+    assert!(cluster.run_until_all_have(5, IN_FORCE_US));
+    let reads = cluster.network.table_reads - before;
+    assert!(reads <= started + 2 * 8 * 2, "{reads}");
+}
+
 #[test]
 fn what_is_sent_unasked_keeps_to_its_rate() {
     let settings = ConfigSettings {
