--- a/src/host/logs.rs
+++ b/src/host/logs.rs
@@ -16,6 +16,17 @@
     logforth::starter_log::builder()
         .dispatch(|dispatch| dispatch.filter(filter).append(appender))
         .apply();
+    log::set_max_level(greatest(settings.level));
+}
+
+/// Returns the greatest level that any filter lets pass, so that others are not even formed.
+fn greatest(level: LogLevel) -> log::LevelFilter {
+    match level {
+        LogLevel::Error => log::LevelFilter::Error,
+        LogLevel::Warn => log::LevelFilter::Warn,
+        LogLevel::Info => log::LevelFilter::Info,
+        LogLevel::Debug => log::LevelFilter::Debug,
+    }
 }
 
 /// The link library logs each question; its warnings are enough.
--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -14,7 +14,7 @@
 use tokio::sync::{Mutex as AsyncMutex, watch};
 
 use super::parts::{self, PART_BYTES};
-use super::{Answered, Asked, IN_FLIGHT_MAX, PeerClient, PeerLimits, frames};
+use super::{Asked, IN_FLIGHT_MAX, Parted, PeerClient, PeerLimits, frames};
 use crate::host::lock;
 use crate::kernel::LinkError;
 use crate::peer::{PeerAnswer, PeerQuestion};
@@ -77,10 +77,12 @@
         let _count = WaitCount::new(&self.waiting);
         let deadline = Instant::now() + timeout;
         let body = parts::detach(parts::question_body(&mut question));
-        let connect = tokio::time::timeout(timeout, self.connect()).await;
-        let connection = connect.unwrap_or(Err(LinkError::NotSent))?;
+        let connection = match self.present() {
+            Some(present) => present,
+            None => Box::pin(self.connect_within(timeout)).await?,
+        };
         let body_key = match body {
-            Some(body) => Some(self.put_parts(&connection, &body, deadline).await?),
+            Some(body) => Some(Box::pin(self.put_parts(&connection, &body, deadline)).await?),
             None => None,
         };
         let asked = connection
@@ -90,7 +92,22 @@
             .exchange(&connection, asked)
             .await?
             .ok_or(LinkError::Lost)?;
-        self.join_answer(answered, deadline).await
+        let Some(parted) = answered.parted else {
+            return Ok(answered.answer);
+        };
+        Box::pin(self.join_answer(answered.answer, parted, deadline)).await
+    }
+
+    /// Returns the present connection where it is at hand.
+    fn present(&self) -> Option<Connection> {
+        let state = self.state.try_lock().ok()?;
+        let present = state.connection.as_ref()?;
+        present.heard.borrow().is_some().then(|| present.clone())
+    }
+
+    async fn connect_within(&self, timeout: Duration) -> Result<Connection, LinkError> {
+        let connect = tokio::time::timeout(timeout, self.connect()).await;
+        connect.unwrap_or(Err(LinkError::NotSent))
     }
 
     /// Sends a body ahead of its question: whatever goes wrong, the question was not asked.
@@ -116,13 +133,10 @@
     /// Fetches a body in parts; a part that is lost is asked again on a new connection.
     async fn join_answer(
         &self,
-        answered: Answered,
+        mut answer: PeerAnswer,
+        parted: Parted,
         deadline: Instant,
     ) -> Result<PeerAnswer, LinkError> {
-        let mut answer = answered.answer;
-        let Some(parted) = answered.parted else {
-            return Ok(answer);
-        };
         let body_bytes = usize::try_from(parted.body_bytes).map_err(|_| LinkError::Lost)?;
         let mut body = BytesMut::new();
         while body.len() < body_bytes {
@@ -232,7 +246,8 @@
                 continue;
             }
             let deadline = Instant::now() + self.limits.ping_timeout;
-            if connection.client.ping(until(deadline)).await.is_err() {
+            let ping = Box::pin(connection.client.ping(until(deadline)));
+            if ping.await.is_err() {
                 return;
             }
             connection.note_heard();
