--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -12,8 +12,9 @@
 use crate::kernel::{Context, Event, Service};
 use crate::request::{CallRequest, RunKey};
 use crate::retry::Allowance;
+use crate::run_once;
 use crate::sorted::SortedMap;
-use crate::verdict::{DoubtReason, RefusalReason, Verdict};
+use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
 use plan::Plan;
 use tickets::TicketStock;
 
@@ -66,6 +67,8 @@
     tries: Vec<Try>,
     tried: Vec<MemberId>,
     was_sent: bool,
+    /// What an earlier try left open; a later refusal does not undo it.
+    doubt: Option<Doubt>,
 }
 
 /// A question that waits for its answer.
@@ -131,7 +134,8 @@
         self.calls.is_empty()
     }
 
-    fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, request: CallRequest) {
+    fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, mut request: CallRequest) {
+        request.run_key = run_once::scoped_key(&request.run_key, &request.caller, &request.service);
         let plan = Plan::new(context, &self.settings, &request);
         let allowance = match plan.open_allowance(context, &request) {
             Ok(allowance) => allowance,
@@ -152,6 +156,7 @@
             tries: Vec::new(),
             tried: Vec::new(),
             was_sent: false,
+            doubt: None,
         };
         self.calls.insert(key, call);
         if is_too_deep {
--- a/src/config/roster.rs
+++ b/src/config/roster.rs
@@ -32,10 +32,14 @@
 /// Addresses in the order of the rendezvous hash.
 type Ring = SortedMap<(u64, MemberId), SocketAddr>;
 
-/// Returns the place of a daemon in the order of the rendezvous hash.
+/// Returns the hash by which daemons are ordered: the lowest of an availability zone poll the
+/// table, and each tells the next ones of its zone about a new version.
+pub fn rendezvous_hash(id: MemberId) -> u64 {
+    xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED)
+}
+
 fn place(id: MemberId) -> (u64, MemberId) {
-    let hash = xxhash_rust::xxh3::xxh3_64_with_seed(&id.0.to_le_bytes(), HASH_SEED);
-    (hash, id)
+    (rendezvous_hash(id), id)
 }
 
 impl Roster {
@@ -109,7 +113,7 @@
     /// Returns the daemons that are told of a new version: the next one in the availability zone,
     /// so that each daemon is next to one, and some at random.
     pub(super) fn told(&self, count: usize, rng: &mut impl RngExt) -> Vec<SocketAddr> {
-        let mut told: Vec<SocketAddr> = next(&self.zone, place(self.own_id)).into_iter().collect();
+        let mut told = next(&self.zone, place(self.own_id), count / 2);
         for _ in 0..count * PICKS {
             if told.len() >= count {
                 break;
@@ -133,11 +137,20 @@
     ring.entry_at(at).map(|(_, address)| *address)
 }
 
-fn next(ring: &Ring, own: (u64, MemberId)) -> Option<SocketAddr> {
+fn next(ring: &Ring, own: (u64, MemberId), count: usize) -> Vec<SocketAddr> {
+    let mut later = Vec::new();
+    let mut earlier = Vec::new();
     for (other, address) in ring.iter() {
-        if *other > own {
-            return Some(*address);
+        let found = if *other > own {
+            &mut later
+        } else {
+            &mut earlier
+        };
+        if found.len() < count {
+            found.push(*address);
         }
     }
-    ring.entry_at(0).map(|(_, address)| *address)
+    later.extend(earlier);
+    later.truncate(count);
+    later
 }
