--- a/examples/added_latency.rs
+++ b/examples/added_latency.rs
@@ -28,6 +28,9 @@
 /// The calls at the start of each path that are not counted.
 const WARM_UP_CALLS: usize = 200;
 
+/// The idle connections that are kept.
+const IDLE_MAX: usize = 128;
+
 /// The time after which a call counts as failed.
 const TIMEOUT: Duration = Duration::from_secs(5);
 
@@ -71,13 +74,21 @@
         let response = sender.send_request(request).await?;
         let is_ok = response.status().is_success();
         let body = response.into_body().collect().await?.to_bytes();
-        self.idle.borrow_mut().push(sender);
+        self.keep(sender);
         match is_ok && body == BODY {
             true => Ok(()),
             false => Err("not the answer".into()),
         }
     }
 
+    /// Keeps a connection for later calls, within a bound: the target's connections are shared.
+    fn keep(&self, sender: SendRequest<Full<Bytes>>) {
+        let mut idle = self.idle.borrow_mut();
+        if idle.len() < IDLE_MAX {
+            idle.push(sender);
+        }
+    }
+
     async fn call_in_time(&self) -> bool {
         matches!(tokio::time::timeout(TIMEOUT, self.call()).await, Ok(Ok(())))
     }
