Wait shortly for a configuration that is known to be newer

Cause: a daemon that woke after a change, or heard of a greater version on a call, decided its next calls by the older records. Ruled out: waiting without bound (an outage would stop calls); waiting at the guard (its decisions ride on the call). Change: the entry role holds calls while the configuration is behind, for at most config_wait_ms, and not again until it changed if that was in vain.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -1,6 +1,7 @@
 //! The entry role: takes calls, chooses targets, tries again within bounds and replies.
 
 mod attempt;
+mod hold;
 mod plan;
 mod settle;
 mod tickets;
@@ -9,12 +10,13 @@
 
 use crate::derives::settings;
 use crate::ids::{AskKey, CallKey, MemberId};
-use crate::kernel::{Context, Event, Service};
+use crate::kernel::{Context, Event, Notice, Service};
 use crate::request::{CallRequest, RunKey};
 use crate::retry::Allowance;
 use crate::run_once;
 use crate::sorted::SortedMap;
 use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
+use hold::{HOLD_TAG, Hold};
 use plan::Plan;
 use tickets::TicketStock;
 
@@ -32,6 +34,8 @@
     pub retries: u32,
     /// The number of tickets handed out at once.
     pub tickets_per_block: u16,
+    /// The time for which a call may wait for a configuration that is known to be newer.
+    pub config_wait_ms: u32,
     /// The greatest depth of a call graph; deeper calls are refused.
     pub depth_max: u8,
 }
@@ -43,6 +47,7 @@
             deadline_ms: 10_000,
             retries: 3,
             tickets_per_block: 8,
+            config_wait_ms: 200,
             depth_max: 32,
         }
     }
@@ -55,6 +60,7 @@
     calls: SortedMap<CallKey, EntryCall>,
     asks: SortedMap<AskKey, CallKey>,
     tickets: TicketStock,
+    hold: Hold,
 }
 
 /// A call that this daemon took.
@@ -121,17 +127,18 @@
             calls: SortedMap::default(),
             asks: SortedMap::default(),
             tickets: TicketStock::default(),
+            hold: Hold::default(),
         }
     }
 
     /// Returns the number of calls that wait for their reply.
     pub fn len(&self) -> usize {
-        self.calls.len()
+        self.calls.len() + self.hold.len()
     }
 
     /// Says whether no call waits for its reply.
     pub fn is_empty(&self) -> bool {
-        self.calls.is_empty()
+        self.len() == 0
     }
 
     fn arrive(&mut self, context: &mut Context<'_>, key: CallKey, mut request: CallRequest) {
@@ -197,6 +204,9 @@
 
     /// The caller went away: what may run again is given up, what runs once goes on to its end.
     fn end_without_caller(&mut self, context: &mut Context<'_>, key: CallKey) {
+        if self.hold.remove(key) {
+            return;
+        }
         let Some(call) = self.calls.get(&key) else {
             return;
         };
@@ -236,7 +246,9 @@
 
     fn handle(&mut self, context: &mut Context<'_>, event: Event) {
         match event {
-            Event::CallArrived { call, request } => self.arrive(context, call, *request),
+            Event::CallArrived { call, request } => self.take(context, call, *request),
+            Event::Notice(Notice::ConfigChanged(_)) => self.end_hold(context),
+            Event::Timer(HOLD_TAG) => self.give_up_hold(context),
             Event::CallerGone(call) => self.end_without_caller(context, call),
             Event::Answered { ask, result } => self.hear_answer(context, ask, result),
             Event::Timer(tag) => match TimerKind::of(tag) {
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -27,6 +27,7 @@
     bound("entry.deadline_ms", 1, 3_600_000),
     bound("entry.retries", 0, 100),
     bound("entry.tickets_per_block", 1, 64),
+    bound("entry.config_wait_ms", 1, 60_000),
     bound("entry.depth_max", 1, 255),
     bound("guard.retry_after_ms", 1, 60_000),
     bound("guard.late_answer_ms", 0, 3_600_000),
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -11,8 +11,11 @@
 use std::cell::Cell;
 use std::rc::Rc;
 
-use dragonflylug::kernel::{CallReply, Notice, TargetOutcome};
+use dragonflylug::config::{Policy, RequestKind, ServiceRecord, Submission};
+use dragonflylug::ids::{CallKey, Priority};
+use dragonflylug::kernel::{CallReply, Event, Notice, TargetOutcome};
 use dragonflylug::metrics::{Counter, RetryReason};
+use dragonflylug::operator::OperatorRequest;
 use dragonflylug::request::{Answer, RunKey};
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
@@ -287,3 +290,78 @@
         assert!(!said_not_run || ran == 0, "{ran} runs, {reply:?}");
     }
 }
+
+/// A record under which `/free` runs once or may run again.
+fn submission(expected_version: u64, is_idempotent: bool) -> Submission {
+    let policy = Policy {
+        priority: Priority::Normal,
+        is_idempotent,
+        retries: 3,
+        deadline_ms: 2_000,
+        hedge_after_ms: 0,
+    };
+    let kind = RequestKind {
+        method: "*".into(),
+        path_prefix: "/".into(),
+        policy,
+    };
+    let service = "lookups".into();
+    Submission {
+        change_id: format!("change-{expected_version}"),
+        expected_version,
+        records: vec![ServiceRecord {
+            schema_version: 2,
+            service,
+            kinds: vec![kind],
+        }],
+        removed: Vec::new(),
+    }
+}
+
+fn submit(network: &mut Network, node: usize, submission: Submission) {
+    let request = OperatorRequest::Submit(submission);
+    let event = Event::OperatorAsked {
+        call: CallKey(9_000),
+        request,
+    };
+    network.event(node, dragonflylug::config::NAME, event);
+    network.run_until(network.now_us + SETTLE_US);
+}
+
+/// A daemon that was paused over a change does not decide by the older configuration.
+#[test]
+fn a_daemon_that_wakes_after_a_change_decides_by_the_new_one() {
+    let mut network = two_guards();
+    submit(&mut network, 1, submission(0, true));
+    let reply = exchange(&mut network, 0, 1, request("lookups", "GET", "/free"));
+    assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
+    let wakes_us = network.now_us + 3 * SETTLE_US;
+    network.pause(0, wakes_us);
+    submit(&mut network, 1, submission(1, false));
+    network.run_until(wakes_us);
+    let reply = exchange(&mut network, 0, 2, request("lookups", "GET", "/free"));
+    assert_eq!(
+        refusal(&reply),
+        Some(RefusalReason::TicketNeeded),
+        "{reply:?}"
+    );
+}
+
+/// Without any configuration to be had calls do not wait for one over and over.
+#[test]
+fn calls_go_on_by_what_is_in_force_where_nothing_newer_can_be_had() {
+    let mut network = two_guards();
+    submit(&mut network, 1, submission(0, true));
+    network.platform_fault = network::PlatformFault::Down;
+    network.kill(1);
+    network.kill(2);
+    let wakes_us = network.now_us + 2 * SETTLE_US;
+    network.pause(0, wakes_us);
+    network.run_until(wakes_us);
+    let before_us = network.now_us;
+    for key in 1..20 {
+        exchange(&mut network, 0, key, request("nothing", "GET", "/"));
+    }
+    let waited_us = network.now_us - before_us;
+    assert!(waited_us < 300_000, "{waited_us} us");
+}
