Let each repeat of a request fetch a ticket of its own

Cause: a load at twice the capacity ended 22 payments as not-run for ticket_needed: a refused ticket is void, so a request with three retries needs up to four tickets, and the client gave up after three. Ruled out: theft of a ticket by a concurrent request of the same client, on one thread; on several threads it could happen, so the request now takes its own ticket from the reply before the others are kept. Change: the bound on tickets for one request; the order of keeping. Seen to fail first: each_repeat_may_fetch_a_ticket_of_its_own: left not-run (TicketNeeded, 7 tries), right ran.

--- a/src/client.rs
+++ b/src/client.rs
@@ -149,7 +149,7 @@
             let left = request.deadline.saturating_sub(start.elapsed());
             self.take_ticket(request, &mut course);
             let reply = self.attempt(request, course.attempt(), left).await;
-            self.keep_tickets(request, &reply);
+            self.keep_tickets(request, &mut course, &reply);
             let left = request.deadline.saturating_sub(start.elapsed());
             match course.hear(reply.verdict, reply.retries_left, left) {
                 Next::Done(verdict) => {
@@ -214,12 +214,26 @@
         }
     }
 
-    fn keep_tickets(&self, request: &ClientRequest, reply: &Reply) {
-        if reply.tickets.is_empty() {
+    /// Gives a request that needs a ticket one of those handed out and keeps the others.
+    fn keep_tickets(&self, request: &ClientRequest, course: &mut Course, reply: &Reply) {
+        let Some((own, others)) = reply.tickets.split_last() else {
             return;
-        }
+        };
+        let needs_ticket = matches!(
+            reply.verdict,
+            Verdict::NotRun(Refusal {
+                reason: RefusalReason::TicketNeeded,
+                ..
+            })
+        );
+        let kept = if needs_ticket && course.is_keyless() {
+            course.use_key(RunKey::Ticket(*own));
+            others
+        } else {
+            &reply.tickets
+        };
         let mut stock = self.tickets.lock().unwrap_or_else(PoisonError::into_inner);
-        stock.put(&request.service, &reply.tickets, Instant::now());
+        stock.put(&request.service, kept, Instant::now());
     }
 
     async fn wait(&self, after: Duration, left: Duration) {
--- a/src/client/course.rs
+++ b/src/client/course.rs
@@ -12,7 +12,7 @@
 const ANSWER_ASK_WAIT: Duration = Duration::from_millis(50);
 
 /// The tickets that one request is handed before it is given up.
-const TICKET_GRANTS_MAX: u32 = 3;
+const TICKET_GRANTS_MAX: u32 = 16;
 
 /// What is sent along with one try of a request.
 #[derive(Clone, Debug, PartialEq)]
@@ -107,8 +107,13 @@
         self.tries
     }
 
+    /// Says whether the request has neither ticket nor key.
+    pub(super) fn is_keyless(&self) -> bool {
+        self.attempt.run_key == RunKey::None
+    }
+
     pub(super) fn wants_ticket(&self) -> bool {
-        self.needs_ticket && self.attempt.run_key == RunKey::None
+        self.needs_ticket && self.is_keyless()
     }
 
     pub(super) fn use_key(&mut self, key: RunKey) {
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -33,6 +33,8 @@
 
 use Step::{Close, MayHaveRun, NotRun, Ran, Tickets};
 
+const ONE_TICKET: Step = Tickets("00000000000000aa-1");
+const REFUSED: Step = NotRun("overload", 1);
 const TWO_TICKETS: Step = Tickets("00000000000000aa-1,00000000000000aa-2");
 
 /// A daemon that answers from a script; the last step is repeated.
@@ -214,6 +216,14 @@
         verdict: "ran", reason: "",
         header: headers::TICKET, sent: &["-", "00000000000000aa-2", "00000000000000aa-1"],
     },
+    each_repeat_may_fetch_a_ticket_of_its_own => Case {
+        script: &[
+            ONE_TICKET, REFUSED, ONE_TICKET, REFUSED, ONE_TICKET, REFUSED, ONE_TICKET, Ran,
+        ],
+        request: payout, verdict: "ran", reason: "",
+        header: headers::REPEAT,
+        sent: &["-", "-", "true", "true", "true", "true", "true", "true"],
+    },
     a_doubtful_ticket_is_asked_again_by_the_same_ticket => Case {
         script: &[TWO_TICKETS, Close, Ran], request: payout, verdict: "ran", reason: "",
         header: headers::TICKET, sent: &["-", "00000000000000aa-2", "00000000000000aa-2"],
