--- a/src/admission.rs
+++ b/src/admission.rs
@@ -165,7 +165,10 @@
         }
         if !self.can_finish(now_us, 0, arrival.deadline_us) {
             let refusal = self.refusal(now_us, RefusalReason::Deadline);
-            return Offer::refused(refusal);
+            return Offer::refused(Refusal {
+                is_elsewhere_worthwhile: false,
+                ..refusal
+            });
         }
         if self.has_room_for(arrival.rank.priority) && !self.queue.outranks(arrival.rank) {
             self.start(now_us, arrival.call, arrival.rank.priority);
@@ -179,6 +182,7 @@
 
     /// Takes in the end of a call at the target.
     pub fn finish(&mut self, now_us: u64, call: CallKey, ended: Ended) -> Released {
+        let is_saturated = self.in_flight() >= self.limit.current();
         let Some(running) = self.running.remove(&call) else {
             return Released::default();
         };
@@ -187,6 +191,7 @@
         }
         let elapsed_us = now_us.saturating_sub(running.started_us);
         self.service_time.record(now_us, elapsed_us, ended);
+        self.limit.record(now_us, elapsed_us, ended, is_saturated);
         self.release(now_us)
     }
 
@@ -270,9 +275,12 @@
 
     fn enqueue(&mut self, now_us: u64, arrival: Arrival) -> Offer {
         let ahead = self.queue.ahead_of(arrival.rank);
-        let is_too_late =
-            !self.can_finish(now_us, self.wait_us(now_us, ahead), arrival.deadline_us);
-        if is_too_late || ahead >= self.queue_len_bound() {
+        let wait_us = self.wait_us(now_us, ahead);
+        if !self.can_finish(now_us, wait_us, arrival.deadline_us) {
+            let refusal = self.refusal(now_us, RefusalReason::Deadline);
+            return Offer::refused(refusal);
+        }
+        if ahead >= self.queue_len_bound() {
             let refusal = self.refusal(now_us, RefusalReason::Overload);
             return Offer::refused(refusal);
         }
@@ -306,7 +314,10 @@
         for late in self.queue.take_late(must_start_us) {
             released.evicted.push(Evicted {
                 call: late.call,
-                refusal: self.refusal(now_us, RefusalReason::Deadline),
+                refusal: Refusal {
+                    is_elsewhere_worthwhile: false,
+                    ..self.refusal(now_us, RefusalReason::Deadline)
+                },
             });
         }
         while let Some(first) = self.queue.first() {
@@ -344,7 +355,7 @@
         Refusal {
             reason,
             retry_after_ms: drain_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
-            is_elsewhere_worthwhile: reason != RefusalReason::Deadline,
+            is_elsewhere_worthwhile: true,
         }
     }
 }
--- a/src/config/spread.rs
+++ b/src/config/spread.rs
@@ -48,6 +48,7 @@
     /// After a pause it is not known whether this daemon is behind.
     fn woke(&mut self, context: &mut Context<'_>) {
         self.is_confirmed = false;
+        self.drop_fetches(context);
         self.set_behind(context, self.known_version);
         self.tell_version(context);
         if self.is_poller() {
@@ -87,9 +88,14 @@
         }
     }
 
+    /// Says whether the rate of unasked bytes has room.
+    fn may_tell(&mut self, context: &Context<'_>) -> bool {
+        self.budget.left_bytes(context.now_us()) > 0
+    }
+
     /// Compares versions with a daemon at random.
     fn exchange(&mut self, context: &mut Context<'_>) {
-        if !self.budget.has_room(context.now_us()) {
+        if !self.may_tell(context) {
             return;
         }
         if let Some(peer) = self.roster.any(context.rng()) {
@@ -106,7 +112,7 @@
     }
 
     fn tell_version(&mut self, context: &mut Context<'_>) {
-        if !self.budget.has_room(context.now_us()) {
+        if !self.may_tell(context) {
             self.is_push_set = true;
             context.timer(BUDGET_WAIT_US, tag::PUSH);
             return;
@@ -118,6 +124,9 @@
 
     fn ask_version(&mut self, context: &mut Context<'_>, peer: SocketAddr) {
         let message = Message::Version(self.state.version);
+        if !self.budget.spend(context.now_us(), message.link_bytes()) {
+            return;
+        }
         self.ask_peer(context, peer, message, Purpose::Exchange(peer));
     }
 
@@ -128,7 +137,7 @@
         message: Message,
         purpose: Purpose,
     ) {
-        self.budget.spend(message.link_bytes());
+        count_sent(context, &message);
         let timeout_us = self.settings.ask_timeout_ms * 1_000;
         let ask = context.ask(peer, PeerQuestion::Config(message), timeout_us);
         self.asks.insert(ask, purpose);
@@ -211,6 +220,7 @@
                 Message::Version(self.state.version)
             }
         };
+        count_sent(context, &answer);
         context.answer(inbound, PeerAnswer::Config(answer));
     }
 
@@ -255,3 +265,9 @@
         }
     }
 }
+
+fn count_sent(context: &mut Context<'_>, message: &Message) {
+    let bytes = message.link_bytes() as u64;
+    context.count(Counter::plain("config_messages_sent"));
+    context.count_by(Counter::plain("config_bytes_sent"), bytes);
+}
--- a/tests/config.rs
+++ b/tests/config.rs
@@ -42,6 +42,21 @@
     a_change_is_in_force_at_a_hundred_daemons => 100,
 }
 
+#[test]
+fn the_first_change_spreads_from_the_daemons_that_find_it_in_the_table() {
+    let mut cluster = Cluster::new(300);
+    cluster.run(SECOND_US);
+    cluster.submit_one(0, "c1", 0, 3);
+    let is_written = cluster
+        .network
+        .run_while(u64::MAX, |network| network.table_writes == 0);
+    assert!(is_written);
+    let until_us = cluster.network.now_us + 10 * SECOND_US;
+    cluster.network.pause(0, until_us);
+    let all = cluster.run_until_all_have(1, IN_FORCE_US);
+    assert!(all, "versions {:?}", cluster.versions());
+}
+
 fn accepted(version: u64) -> SubmitOutcome {
     SubmitOutcome::Accepted { version }
 }
@@ -165,6 +180,15 @@
         }
         1
     },
+    all_daemons_are_replaced_at_once => |cluster| {
+        for node in 0..DAEMONS {
+            cluster.kill(node);
+        }
+        for _ in 0..DAEMONS {
+            cluster.add();
+        }
+        1
+    },
     a_daemon_starts_during_the_outage_after_a_change => |cluster| {
         cluster.submit_one(3, "c2", 1, 2);
         cluster.run(IN_FORCE_US);
@@ -478,3 +502,45 @@
     let config: &mut Config = cluster.config(0);
     assert_eq!(config.version(), 0);
 }
+
+#[test]
+fn daemons_that_start_together_take_the_records_from_others() {
+    let mut cluster = Cluster::new(DAEMONS);
+    cluster.run(SECOND_US);
+    for version in 0..5 {
+        let mut records = Vec::new();
+        for at in 0..100 {
+            records.push(record(&format!("service-{version}-{at}"), 3));
+        }
+        cluster.submit(0, submission(&format!("c{version}"), version, records));
+        cluster.run(SECOND_US);
+    }
+    assert!(cluster.run_until_all_have(5, IN_FORCE_US));
+    let before = cluster.network.table_reads;
+    let started = 40;
+    for _ in 0..started {
+        cluster.add();
+    }
+    assert!(cluster.run_until_all_have(5, IN_FORCE_US));
+    let reads = cluster.network.table_reads - before;
+    assert!(reads <= started + 2 * 8 * 2, "{reads}");
+}
+
+#[test]
+fn what_is_sent_unasked_keeps_to_its_rate() {
+    let settings = ConfigSettings {
+        bytes_per_s_max: 100,
+        exchange_period_ms: 50,
+        ..ConfigSettings::default()
+    };
+    let mut cluster = Cluster::with_settings(2, settings);
+    cluster.run(60 * SECOND_US);
+    let question_bytes = Message::Version(0).link_bytes() as u64;
+    let unasked_max = 100 * (60 + 20) + question_bytes;
+    for node in 0..2 {
+        let bytes = cluster.counted(node, "config_bytes_sent");
+        assert!(bytes <= 2 * unasked_max, "{bytes} {unasked_max}");
+    }
+    cluster.submit_one(0, "c1", 0, 3);
+    assert!(cluster.run_until_all_have(1, IN_FORCE_US));
+}
