--- a/tests/interface.rs
+++ b/tests/interface.rs
@@ -142,7 +142,8 @@
 #[case::unknown_path("GET", "/nothing", TOKEN, "", 404, "GET /status")]
 #[case::records_not_json("POST", "/records", TOKEN, "{", 400, "EOF")]
 #[case::records_without_fields("POST", "/records", TOKEN, "{}", 400, "change_id")]
-#[case::status("GET", "/status", TOKEN, "", 200, "unreadable")]
+#[case::status("GET", "/status", TOKEN, "", 200, "config_version")]
+#[case::unreadable_records("GET", "/status", TOKEN, "", 200, "unreadable")]
 #[case::metrics("GET", "/metrics", TOKEN, "", 200, "dragonflylug_")]
 fn an_operator_is_answered(
     #[case] method: &str,
