Hand calls on from a leaving target without a retry, and in time

Cause: two faults at a target that leaves. A call whose caller had no retries left (policy 0, or the caller's budget reserved by calls under way) ended as NotRun(Leaving) while other targets were up. A call that waited in the queue of a target which had become slow was sent to it long after the notice.

Ruled out: overload (at 6.7 s the guards that stayed had 4 to 14 of 16 slots in use and no threshold); the reply had retries_left 0.

Change: a refusal as Leaving sends the call on without a retry, at most 3 times for a call (reason handed_on; nothing ran there or below). 1 s after the notice a guard refuses what still waits in its queue, so that another target takes it.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -21,6 +21,9 @@
 /// The name of the service that takes calls.
 pub const NAME: &str = "entry";
 
+/// The leaving targets that hand a call on without spending one of its retries.
+const HAND_ONS_MAX: u32 = 3;
+
 /// Settings of the entry role.
 #[apply(settings!)]
 pub struct EntrySettings {
@@ -66,6 +69,7 @@
     allowance: Allowance,
     tries: Vec<Try>,
     tried: Vec<MemberId>,
+    hand_ons: u32,
     was_sent: bool,
     /// What an earlier try left open; a later refusal does not undo it.
     doubt: Option<Doubt>,
@@ -155,6 +159,7 @@
             allowance,
             tries: Vec::new(),
             tried: Vec::new(),
+            hand_ons: 0,
             was_sent: false,
             doubt: None,
         };
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -2,7 +2,7 @@
 
 use std::net::SocketAddr;
 
-use super::{Entry, Purpose, TimerKind, Try};
+use super::{Entry, HAND_ONS_MAX, Purpose, TimerKind, Try};
 use crate::config::{self, Config};
 use crate::ids::{AskKey, CallKey, MemberId};
 use crate::kernel::{Context, LinkError};
@@ -249,7 +249,7 @@
             Verdict::MayHaveRun(doubt) => call.retry_reason_in(doubt.reason),
             Verdict::Ran(_) => None,
         };
-        let Some(reason) = reason.filter(|_| call.allowance.spend()) else {
+        let Some(reason) = reason.filter(|reason| call.may_go_on(*reason)) else {
             self.finish(context, key, verdict);
             return;
         };
@@ -340,12 +340,22 @@
         let is_claim = matches!(self.run_key, RunKey::Claim(_));
         match refusal.reason {
             RefusalReason::Unreachable => Some(RetryReason::Unreachable),
+            RefusalReason::Leaving => Some(RetryReason::HandedOn),
             reason if reason.is_without_target() => Some(RetryReason::Refused),
             _ if is_claim => None,
             _ => Some(RetryReason::Refused),
         }
     }
 
+    /// Spends a retry, except where a leaving target hands the call on: nothing ran there or below.
+    fn may_go_on(&mut self, reason: RetryReason) -> bool {
+        if reason == RetryReason::HandedOn && self.hand_ons < HAND_ONS_MAX {
+            self.hand_ons += 1;
+            return true;
+        }
+        self.allowance.spend()
+    }
+
     /// Only requests that may run again, or that ask their issuer for the kept answer, go on.
     fn retry_reason_in(&self, doubt: DoubtReason) -> Option<RetryReason> {
         let reason = match doubt {
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -22,13 +22,14 @@
 use crate::sorted::SortedMap;
 use crate::target::Announcement;
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
-use drain::Drain;
+use drain::{Drain, HAND_ON_AFTER_US};
 
 /// The name of the service that runs calls on the target beside the daemon.
 pub const NAME: &str = "guard";
 
 const EXPIRY_TIMER: u64 = 0;
 const DRAIN_TIMER: u64 = 1;
+const HAND_ON_TIMER: u64 = 2;
 
 /// Settings of the guard.
 #[apply(settings!)]
@@ -434,7 +435,13 @@
 
     fn hear(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
-            Notice::TargetAnnounced(announcement) => self.target = Some(announcement),
+            Notice::TargetAnnounced(announcement) => {
+                let was_leaving = self.is_leaving();
+                self.target = Some(announcement);
+                if !was_leaving && self.is_leaving() {
+                    context.timer(HAND_ON_AFTER_US, HAND_ON_TIMER);
+                }
+            }
             Notice::TargetSilent => {
                 self.target = None;
                 context.log(StateChange::new("guard", "the target is silent", ""));
@@ -443,6 +450,7 @@
                 let linger_us = u64::from(self.settings.stop_linger_ms) * 1_000;
                 self.drain.start(context.now_us() + linger_us);
                 context.timer(linger_us, DRAIN_TIMER);
+                context.timer(HAND_ON_AFTER_US, HAND_ON_TIMER);
             }
             _ => {}
         }
@@ -468,6 +476,7 @@
             Event::Notice(notice) => self.hear(context, notice),
             Event::Timer(EXPIRY_TIMER) => self.expire(context),
             Event::Timer(DRAIN_TIMER) => self.look_for_end(context),
+            Event::Timer(HAND_ON_TIMER) => self.hand_on_queued(context),
             _ => {}
         }
     }
--- a/src/calls/guard/drain.rs
+++ b/src/calls/guard/drain.rs
@@ -1,13 +1,18 @@
 //! The planned stop of a guard: no new work, and the end of what is in flight.
 
-use super::{DRAIN_TIMER, Guard};
+use super::{DRAIN_TIMER, Guard, Stage};
+use crate::admission::{self, Admission, CancelOutcome};
 use crate::calls::entry::{self, Entry};
 use crate::kernel::{Context, Effect, StateChange};
 use crate::run_once::{self, RunOnce};
+use crate::verdict::RefusalReason;
 
 /// The time between two looks whether all work has ended.
 const LOOK_PERIOD_US: u64 = 50_000;
 
+/// The time after which a target that is leaving starts none of the calls that wait for it.
+pub(super) const HAND_ON_AFTER_US: u64 = 1_000_000;
+
 /// The time beyond the linger for which the table may still take back unused claims.
 const CLAIMS_WAIT_US: u64 = 5_000_000;
 
@@ -29,6 +34,30 @@
 }
 
 impl Guard {
+    /// Refuses the calls that still wait, so that other targets take them.
+    pub(super) fn hand_on_queued(&mut self, context: &mut Context<'_>) {
+        if !self.is_leaving() {
+            return;
+        }
+        let mut queued = Vec::new();
+        for (key, guard_call) in self.calls.iter() {
+            if guard_call.stage == Stage::Queued {
+                queued.push(*key);
+            }
+        }
+        let now_us = context.now_us();
+        for key in queued {
+            let Some(admission) = context.find::<Admission>(admission::NAME) else {
+                return;
+            };
+            if admission.cancel(now_us, key) != CancelOutcome::RemovedFromQueue {
+                continue;
+            }
+            let refusal = self.refusal(RefusalReason::Leaving, true);
+            self.refuse(context, key, refusal);
+        }
+    }
+
     /// Ends the node once nothing is in flight and peers had time to learn of the stop.
     pub(super) fn look_for_end(&mut self, context: &mut Context<'_>) {
         let Some(linger_until_us) = self.drain.linger_until_us else {
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -28,6 +28,8 @@
 pub enum RetryReason {
     /// The guard refused and another target may take the request.
     Refused,
+    /// The target is leaving; this spends no retry.
+    HandedOn,
     /// No connection to the guard could be made.
     Unreachable,
     /// The connection was lost and the request is idempotent.
@@ -45,6 +47,7 @@
     pub fn code(self) -> &'static str {
         match self {
             Self::Refused => "refused",
+            Self::HandedOn => "handed_on",
             Self::Unreachable => "unreachable",
             Self::ConnectionLost => "connection_lost",
             Self::BrokenAnswer => "broken_answer",
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -13,6 +13,7 @@
 };
 use dragonflylug::metrics::Counter;
 use dragonflylug::operator::OperatorReply;
+use dragonflylug::peer::PeerQuestion;
 use dragonflylug::request::{Answer, CallRequest, HttpRequest};
 use dragonflylug::sorted::SortedMap;
 use dragonflylug::table::{
@@ -23,6 +24,9 @@
 /// What a fake target does with a request: the answer and the time it takes.
 pub type FakeTarget = Box<dyn FnMut(u64, &HttpRequest) -> (TargetOutcome, u64)>;
 
+/// Says whether a question passes from one node to another.
+pub type PassesQuestion = Box<dyn Fn(usize, usize, &PeerQuestion) -> bool>;
+
 /// A call that a fake target makes to another service before it answers.
 #[derive(Clone, Debug)]
 pub struct ChildCall {
@@ -113,6 +117,8 @@
     pub delay_us: u64,
     /// Says whether messages pass from one node to another.
     pub passes: Box<dyn Fn(usize, usize) -> bool>,
+    /// Says whether a question passes from one node to another.
+    pub passes_question: PassesQuestion,
     pub platform_fault: PlatformFault,
     pub rows: SortedMap<String, (u64, String)>,
     /// The rows that reads see, where those are not the present ones.
@@ -133,6 +139,7 @@
             nodes: Vec::new(),
             delay_us,
             passes: Box::new(|_, _| true),
+            passes_question: Box::new(|_, _, _| true),
             platform_fault: PlatformFault::None,
             rows: SortedMap::default(),
             stale_rows: None,
@@ -318,7 +325,8 @@
                     return;
                 };
                 self.input_after(timeout_us, node, failed(LinkError::TimedOut));
-                if !(self.passes)(node, other) {
+                let passes = (self.passes)(node, other);
+                if !passes || !(self.passes_question)(node, other, &question) {
                     return;
                 }
                 self.next_inbound += 1;
