Scan one zone first, and the next only where it shows few rows

Cause: each start made two scans at once: a zone of 1,417 that restarts would read 2,834 times in its first second. Change: the second scan of the first round is made only where the first showed fewer rows than contacts are looked for. Seen meanwhile: 19 rows in one second, as the walk went on after the own zone and found none after the last zone; the first round begins at the first zone now.

--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -64,6 +64,7 @@
     List,
     Sync { to: MemberId, parts_left: u32 },
     Scan,
+    ScanNext,
     Collect,
     WriteRow,
     ReadSnapshot,
--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -5,7 +5,7 @@
 use rand::{Rng, RngExt};
 
 use super::syncing::PARTS_PER_SYNC;
-use super::{Ask, InboundKey, Member, Membership, Message, Spread, Tag};
+use super::{Ask, InboundKey, Member, Membership, MembershipSettings, Message, Spread, Tag};
 use crate::ids::{AvailabilityZone, MemberId};
 use crate::kernel::{Context, LinkError, StateChange};
 use crate::membership::contacts;
@@ -15,9 +15,6 @@
 /// The size of the members in one part of the member list.
 const LIST_PART_BYTES: usize = 8_192;
 
-/// The scans of the table in one search for contacts.
-const SCANS_PER_ROUND: u32 = 2;
-
 /// How far a daemon has come with the member list.
 #[derive(Default)]
 pub(super) struct Joining {
@@ -26,7 +23,7 @@
     is_listing: bool,
     is_joined: bool,
     has_row: bool,
-    scans_answered: u32,
+    plans_row: bool,
     rows_seen: usize,
     rounds: u32,
     zones: Vec<AvailabilityZone>,
@@ -42,6 +39,11 @@
         self.zones[rng.random_range(0..self.zones.len())].clone()
     }
 
+    /// Says whether the table showed as many contacts as a daemon looks for.
+    fn saw_enough(&self, settings: &MembershipSettings) -> bool {
+        self.rows_seen >= settings.contacts_max as usize
+    }
+
     fn saw_zone(&mut self, zone: &AvailabilityZone) {
         if let Err(at) = self.zones.binary_search(zone) {
             self.zones.insert(at, zone.clone());
@@ -86,30 +88,34 @@
         let zone = self.joining.zone_to_scan(&self.own, context.rng());
         let limit = self.settings.contacts_max;
         let some = contacts::scan_zone(&zone, limit, context.rng());
-        let next = contacts::scan_next_zone(self.joining.last_zone.as_ref(), limit);
-        for request in [some, next] {
-            let ask = context.table(request, self.platform_timeout_us());
-            self.asks.insert(ask, Ask::Scan);
-        }
+        let ask = context.table(some, self.platform_timeout_us());
+        self.asks.insert(ask, Ask::Scan);
         if self.joining.rounds > 0 {
+            self.scan_next_zone(context);
             self.read_snapshot(context);
         }
         self.joining.rounds += 1;
     }
 
+    fn scan_next_zone(&mut self, context: &mut Context<'_>) {
+        let limit = self.settings.contacts_max;
+        let request = contacts::scan_next_zone(self.joining.last_zone.as_ref(), limit);
+        let ask = context.table(request, self.platform_timeout_us());
+        self.asks.insert(ask, Ask::ScanNext);
+    }
+
     fn read_snapshot(&mut self, context: &mut Context<'_>) {
         let ask = context.object(contacts::read_snapshot(), self.platform_timeout_us());
         self.asks.insert(ask, Ask::ReadSnapshot);
     }
 
     /// Writes the own row at once where few are there, else later: many may start together.
-    fn plan_row(&mut self, context: &mut Context<'_>, rows: usize) {
-        self.joining.scans_answered += 1;
-        self.joining.rows_seen += rows;
-        if self.joining.scans_answered != SCANS_PER_ROUND {
+    fn plan_row(&mut self, context: &mut Context<'_>) {
+        if self.joining.plans_row {
             return;
         }
-        if self.joining.rows_seen < self.settings.contacts_max as usize {
+        self.joining.plans_row = true;
+        if !self.joining.saw_enough(&self.settings) {
             self.write_own_row(context);
             return;
         }
@@ -141,11 +147,20 @@
     ) {
         match (ask, result) {
             (Ask::Scan, Ok(TableResponse::Rows(rows))) => {
-                self.plan_row(context, rows.len());
                 self.scanned(context, &rows);
+                if self.joining.rounds == 1 && !self.joining.saw_enough(&self.settings) {
+                    self.joining.last_zone = None;
+                    self.scan_next_zone(context);
+                    return;
+                }
+                self.plan_row(context);
+            }
+            (Ask::ScanNext, Ok(TableResponse::Rows(rows))) => {
+                self.scanned(context, &rows);
+                self.plan_row(context);
             }
-            (Ask::Scan, _) => {
-                self.plan_row(context, 0);
+            (Ask::Scan | Ask::ScanNext, _) => {
+                self.plan_row(context);
                 self.read_snapshot(context);
             }
             (Ask::Collect, Ok(TableResponse::Rows(rows))) => self.collect(context, &rows),
@@ -172,6 +187,7 @@
     }
 
     fn scanned(&mut self, context: &mut Context<'_>, rows: &[Row]) {
+        self.joining.rows_seen += rows.len();
         let mut members = Vec::new();
         for (member, _) in contacts::row_members(rows) {
             self.joining.saw_zone(&member.availability_zone);
