--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -84,8 +84,6 @@
         TicketVoid => "ticket_void",
         /// The platform's table cannot be reached, so a claim cannot be made.
         TableUnavailable => "table_unavailable",
-        /// Another daemon holds the claim and runs the request.
-        ClaimedElsewhere => "claimed_elsewhere",
         /// The request is malformed.
         BadRequest => "bad_request",
         /// The body is larger than the setting allows.
@@ -114,8 +112,6 @@
         ClaimHeld => "claim_held",
         /// The platform's table cannot say whether the request ran before.
         TableUnavailable => "table_unavailable",
-        /// Nothing ran now, but an earlier try of the same key may have run.
-        EarlierTry => "earlier_try",
         /// The caller cancelled the request while it was running.
         Cancelled => "cancelled",
     }
