--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -203,6 +203,27 @@
         (FaultMode::Slow, PlatformError::Lost, true),
 }
 
+#[test]
+fn faults_are_set_and_counts_read_over_http() {
+    let stand = stand(LONG);
+    let base = format!("http://{}", stand.platform.address());
+    let set = |fault: &str| {
+        let answer = ureq::post(&format!("{base}/faults")).send(fault);
+        answer.map(|answer| answer.status().as_u16())
+    };
+    assert_eq!(set(r#"{"mode":"down"}"#).unwrap(), 200);
+    assert_eq!(stand.table(get(&["a"])), Err(PlatformError::NotDone));
+    assert!(matches!(
+        set(r#"{"mode":"odd"}"#),
+        Err(ureq::Error::StatusCode(400))
+    ));
+    assert_eq!(set(r#"{"mode":"none"}"#).unwrap(), 200);
+    stand.table(get(&["a"])).unwrap();
+    let mut answer = ureq::get(&format!("{base}/counts")).call().unwrap();
+    let counts = answer.body_mut().read_to_string().unwrap();
+    assert_eq!(counts, r#"{"reads":1,"writes":0}"#);
+}
+
 #[test]
 fn a_refused_connection_did_nothing() {
     let listener = TcpListener::bind(any_port()).unwrap();
