Keep retries over a ticket hand-out; don't blame a target for failures below

Cause: sending a request again with the ticket it was handed counted as a repeat, so it had no retries and was charged to the caller's budget. An error that only passed on a failure further down counted as the target's own, so entries ejected the front targets in turn. Ruled out: not naming requests until a ticket is there (a repeat is recognized by the name). Change: a request that was handed tickets is forgotten by the ledger; the reply says where the failure arose, and routing and admission heed it.

--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -138,7 +138,7 @@
     fn hear_reply(&mut self, context: &mut Context<'_>, key: CallKey, one: Try, reply: PeerReply) {
         note_config_version(context, reply.config_version, one.member);
         let mut verdict = reply.verdict;
-        let mut outcome = TryOutcome::of(&verdict);
+        let mut outcome = TryOutcome::of(&verdict, reply.is_failed_below);
         if let Verdict::Ran(answer) = &verdict
             && !answer.is_whole()
         {
--- a/src/calls/entry/settle.rs
+++ b/src/calls/entry/settle.rs
@@ -58,6 +58,9 @@
         count(context, &verdict);
         let succeeded = matches!(&verdict, Verdict::Ran(answer) if answer.status < 500);
         close_allowance(context, &call, succeeded);
+        if !tickets.is_empty() {
+            forget_unsent(context, &call);
+        }
         let retries_left = call.allowance.left();
         let reply = CallReply {
             verdict,
@@ -119,6 +122,14 @@
     context.count(counter);
 }
 
+/// Sending a request again with the ticket that was handed out is its first try.
+fn forget_unsent(context: &mut Context<'_>, call: &EntryCall) {
+    let now_us = context.now_us();
+    if let Some(ledger) = context.find::<RetryLedger>(retry::NAME) {
+        ledger.forget_root(now_us, &call.request.caller, call.plan.named);
+    }
+}
+
 fn close_allowance(context: &mut Context<'_>, call: &EntryCall, succeeded: bool) {
     let left = call.allowance.left();
     if let Some(parent) = &call.plan.parent {
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -307,6 +307,7 @@
             return;
         };
         let is_late = guard_call.deadline_us <= context.now_us();
+        let is_failed_below = guard_call.is_failed_below;
         let retry_after_ms = self.settings.retry_after_ms;
         let verdict = match outcome {
             TargetOutcome::Answered(answer) => Verdict::Ran(answer),
@@ -321,7 +322,7 @@
             }
         };
         let ended = match &verdict {
-            Verdict::Ran(answer) if answer.status < 500 => Ended::Answered,
+            Verdict::Ran(answer) if answer.status < 500 || is_failed_below => Ended::Answered,
             _ => Ended::Failed,
         };
         self.release(context, key, ended);
--- a/src/retry/budget.rs
+++ b/src/retry/budget.rs
@@ -121,6 +121,11 @@
         Allowance::new(granted)
     }
 
+    /// Forgets a request that made no try.
+    pub(super) fn forget_request(&mut self, request: RequestId) {
+        self.recent.retain(|recent| recent.request != request);
+    }
+
     fn forget(&mut self, now_us: u64, bounds: BudgetBounds) {
         let window_us = bounds.window_us;
         self.recent
--- a/src/retry/ledger.rs
+++ b/src/retry/ledger.rs
@@ -125,6 +125,14 @@
         }
     }
 
+    /// Forgets a root request that was not sent to any target: its next sending is its first try.
+    pub fn forget_root(&mut self, now_us: u64, caller: &Caller, request: Option<RequestId>) {
+        let Some(request) = request else {
+            return;
+        };
+        self.budget(now_us, caller).forget_request(request);
+    }
+
     /// Returns the number of callers in memory.
     pub fn callers(&self) -> usize {
         self.callers.len()
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -283,8 +283,11 @@
 
 impl TryOutcome {
     /// Returns the outcome that a verdict is counted as.
-    pub fn of(verdict: &Verdict) -> Self {
+    ///
+    /// An error that only passes on a failure further down is no fault of the target.
+    pub fn of(verdict: &Verdict, is_failed_below: bool) -> Self {
         match verdict {
+            Verdict::Ran(_) if is_failed_below => Self::Answered,
             Verdict::Ran(answer) if answer.status >= 500 => Self::TargetError,
             Verdict::Ran(_) => Self::Answered,
             Verdict::NotRun(refusal) if refusal.reason.is_without_target() => Self::NotSent,
--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -12,7 +12,7 @@
 use std::rc::Rc;
 
 use dragonflylug::config::{Policy, RequestKind, ServiceRecord, Submission};
-use dragonflylug::ids::{CallKey, Priority};
+use dragonflylug::ids::{CallKey, Priority, RequestId};
 use dragonflylug::kernel::{CallReply, Event, Notice, TargetOutcome};
 use dragonflylug::metrics::{Counter, RetryReason};
 use dragonflylug::operator::OperatorRequest;
@@ -365,3 +365,38 @@
     let waited_us = network.now_us - before_us;
     assert!(waited_us < 300_000, "{waited_us} us");
 }
+
+/// Sending a request again with the ticket that it was handed is its first try.
+#[test]
+fn a_request_that_was_handed_a_ticket_keeps_its_retries() {
+    let mut network = two_guards();
+    let mut paid = request("lookups", "POST", "/pay");
+    for number in 1..40 {
+        paid.request = Some(RequestId(number));
+        paid.run_key = RunKey::None;
+        let handed = exchange(&mut network, 0, 2 * number, paid.clone());
+        paid.run_key = RunKey::Ticket(handed.tickets[0]);
+        let reply = exchange(&mut network, 0, 2 * number + 1, paid.clone());
+        assert!(matches!(reply.verdict, Verdict::Ran(_)), "{reply:?}");
+        assert_eq!(reply.retries_left, 3, "request {number}");
+    }
+}
+
+/// A target whose calls fail further down is not ejected for it.
+#[test]
+fn a_failure_below_does_not_eject_the_target_above() {
+    let mut network = chain(2, 4, 0, true);
+    for node in 5..9 {
+        network.nodes[node].target = Box::new(|_, _| {
+            let failed = Answer::new(503, Vec::new(), Default::default());
+            (TargetOutcome::Answered(failed), 1_000)
+        });
+    }
+    for key in 1..200 {
+        exchange(&mut network, 0, key, request("level-0", "GET", "/"));
+    }
+    let runs: Vec<usize> = (1..5).map(|node| network.nodes[node].runs.len()).collect();
+    let least = runs.iter().min().copied().unwrap();
+    let most = runs.iter().max().copied().unwrap();
+    assert!(most <= 3 * least, "{runs:?}");
+}
