Prove that answers arrive whole over links; let go of large bodies

Cause: the body of a large answer stayed for 30 s in the room for parts, so that repeated bundles ran out of it, and then a finished answer was dropped. An altered answer of the only target was not asked again. Ruled out: dropping a body with its last part (that part may be lost).

--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -272,7 +272,7 @@
     ) {
         let mut choice = self.choose(context, key);
         if choice.is_err()
-            && reason == RetryReason::ConnectionLost
+            && reason.is_of_link()
             && let Some(call) = self.calls.get_mut(&key)
         {
             call.tried.clear();
--- a/src/host/peer.rs
+++ b/src/host/peer.rs
@@ -47,6 +47,9 @@
     /// Returns the part of an answer's body at an offset.
     async fn part(key: u64, offset: u64) -> Option<Bytes>;
 
+    /// Lets go of an answer's body that arrived whole.
+    async fn release(key: u64);
+
     /// Shows that the connection still carries messages.
     async fn ping();
 }
@@ -235,23 +238,29 @@
         Some(question)
     }
 
-    /// Holds a large body back for the asker to fetch in parts.
-    fn split_answer(&self, mut answer: PeerAnswer) -> Option<Answered> {
+    /// Holds a large body back for the asker to fetch in parts; without room it goes whole.
+    fn split_answer(&self, mut answer: PeerAnswer) -> Answered {
         let Some(body) = parts::detach(parts::answer_body(&mut answer)) else {
-            return Some(Answered {
+            return Answered {
                 answer,
                 parted: None,
-            });
+            };
         };
         let key = rand::rng().next_u64();
-        if !lock(&self.parts).hold(key, &body, self.parted_bytes_max()) {
-            return None;
+        if lock(&self.parts).hold(key, &body, self.parted_bytes_max()) {
+            let body_bytes = body.len() as u64;
+            return Answered {
+                answer,
+                parted: Some(Parted { key, body_bytes }),
+            };
+        }
+        if let Some(place) = parts::answer_body(&mut answer) {
+            *place = body;
+        }
+        Answered {
+            answer,
+            parted: None,
         }
-        let parted = Some(Parted {
-            key,
-            body_bytes: body.len() as u64,
-        });
-        Some(Answered { answer, parted })
     }
 }
 
@@ -265,7 +274,7 @@
         };
         self.node.submit(Input::Asked { inbound, question });
         let answer = receiver.await.ok()?;
-        self.split_answer(answer)
+        Some(self.split_answer(answer))
     }
 
     async fn put(self, _: tarpc::context::Context, key: u64, offset: u64, part: Bytes) -> bool {
@@ -280,6 +289,10 @@
         lock(&self.parts).part(key, usize::try_from(offset).ok()?)
     }
 
+    async fn release(self, _: tarpc::context::Context, key: u64) {
+        lock(&self.parts).take(key);
+    }
+
     async fn ping(self, _: tarpc::context::Context) {}
 }
 
--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -153,9 +153,18 @@
             }
         }
         *parts::answer_body(&mut answer).ok_or(LinkError::Lost)? = body.freeze();
+        self.release(parted.key, deadline).await;
         Ok(answer)
     }
 
+    /// Lets the other side forget a body; without it the body is dropped after a while.
+    async fn release(&self, key: u64, deadline: Instant) {
+        let Ok(connection) = self.connect().await else {
+            return;
+        };
+        let _ = connection.client.release(until(deadline), key).await;
+    }
+
     /// Waits for an answer while the connection gives signs of life.
     async fn exchange<T>(
         &self,
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -43,6 +43,11 @@
 }
 
 impl RetryReason {
+    /// Says whether the link failed, and not the target.
+    pub fn is_of_link(self) -> bool {
+        matches!(self, Self::ConnectionLost | Self::BrokenAnswer)
+    }
+
     /// Returns the code used in metrics.
     pub fn code(self) -> &'static str {
         match self {
--- a/standins/src/relay.rs
+++ b/standins/src/relay.rs
@@ -1,7 +1,8 @@
 //! A byte relay between two processes that can stop forwarding.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::tcp::{OwnedReadHalf, OwnedWriteHalf};
@@ -22,6 +23,10 @@
     upstream: watch::Sender<Option<SocketAddr>>,
     /// Connections of an earlier generation than this one carry nothing any more.
     silent_before: watch::Sender<u64>,
+    /// The bytes towards the caller after which one is altered; `None` for never.
+    alter_after: Mutex<Option<usize>>,
+    /// The bytes that were altered.
+    altered: AtomicUsize,
     /// Whether connections are cut and new ones are closed.
     is_cut: watch::Sender<bool>,
 }
@@ -38,6 +43,8 @@
         let shared = Arc::new(Shared {
             upstream: watch::Sender::new(None),
             silent_before: watch::Sender::new(0),
+            alter_after: Mutex::new(None),
+            altered: AtomicUsize::new(0),
             is_cut: watch::Sender::new(false),
         });
         let accepting = accept(listener, Arc::clone(&shared));
@@ -66,6 +73,16 @@
             .send_modify(|generation| *generation += 1);
     }
 
+    /// Alters one byte towards the caller, after so many more.
+    pub fn alter_after(&self, bytes: usize) {
+        *self.shared.alter_after() = Some(bytes);
+    }
+
+    /// Returns the number of bytes that were altered.
+    pub fn altered(&self) -> usize {
+        self.shared.altered.load(Ordering::Relaxed)
+    }
+
     /// Cuts all present connections and closes new ones until [`Relay::restore`].
     pub fn cut(&self) {
         self.shared.is_cut.send_replace(true);
@@ -77,6 +94,29 @@
     }
 }
 
+impl Shared {
+    fn alter_after(&self) -> MutexGuard<'_, Option<usize>> {
+        self.alter_after
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Alters the byte that is due, if it is in this chunk.
+    fn alter(&self, chunk: &mut [u8]) {
+        let mut after = self.alter_after();
+        let Some(left) = *after else {
+            return;
+        };
+        if left >= chunk.len() {
+            *after = Some(left - chunk.len());
+            return;
+        }
+        chunk[left] ^= 1;
+        *after = None;
+        self.altered.fetch_add(1, Ordering::Relaxed);
+    }
+}
+
 impl Drop for Relay {
     fn drop(&mut self) {
         self.task.abort();
@@ -106,8 +146,10 @@
     let (upstream_read, upstream_write) = upstream.into_split();
     let mut cut = shared.is_cut.subscribe();
     tokio::select! {
-        () = forward(caller_read, upstream_write, &shared, generation) => {}
-        () = forward(upstream_read, caller_write, &shared, generation) => {}
+        () = forward(caller_read, upstream_write, &shared, generation, |_| {}) => {}
+        () = forward(upstream_read, caller_write, &shared, generation, |chunk| {
+            shared.alter(chunk);
+        }) => {}
         _ = cut.wait_for(|cut| *cut) => {}
     }
 }
@@ -118,6 +160,7 @@
     mut to: OwnedWriteHalf,
     shared: &Shared,
     generation: u64,
+    change: impl Fn(&mut [u8]),
 ) {
     let mut chunk = vec![0; CHUNK_BYTES];
     while let Ok(count) = from.read(&mut chunk).await {
@@ -125,6 +168,7 @@
         if is_silent {
             std::future::pending::<()>().await;
         }
+        change(&mut chunk[..count]);
         if count == 0 || to.write_all(&chunk[..count]).await.is_err() {
             return;
         }
