--- a/tests/links.rs
+++ b/tests/links.rs
@@ -17,11 +17,9 @@
 use dragonflylug::kernel::{Context, Event, Kernel, LinkError, Service};
 use dragonflylug::peer::{PeerAnswer, PeerQuestion};
 use dragonflylug::request::{Answer, HttpRequest, LoadReport, PeerCall, PeerReply, RunKey};
-use dragonflylug::settings::Settings;
 use dragonflylug::verdict::Verdict;
-use dragonflylug_standins::relay::Relay;
 use dragonflylug_standins::target::TargetConfig;
-use processes::{Bench, Call};
+use processes::{Call, behind_relay};
 use tokio::net::TcpListener;
 
 /// The body of a large answer, and the greatest one.
@@ -172,21 +170,11 @@
 
 #[test]
 fn an_altered_answer_is_never_passed_on() {
-    let mut bench = Bench::new();
-    bench.add_entry("a");
-    let relay = bench.runtime.block_on(Relay::start()).unwrap();
-    let peer_advertised_address = Some(relay.address());
-    let settings = Settings {
-        peer_advertised_address,
-        ..bench.settings("a")
-    };
     let config = TargetConfig {
         service: "lookups".to_string(),
         ..TargetConfig::default()
     };
-    let (daemon, _) = bench.add_guard(&settings, config);
-    relay.set_upstream(bench.daemons[daemon].addresses.peer);
-    bench.settle(0, "lookups", 1);
+    let (bench, relay) = behind_relay(config);
     let headers = [
         ("x-standin-answer-bytes", "100000"),
         ("x-dragonflylug-deadline-ms", "5000"),
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -7,12 +7,10 @@
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::thread::JoinHandle;
 
-use dragonflylug::settings::Settings;
 use dragonflylug_standins::platform::{Fault, FaultMode};
-use dragonflylug_standins::relay::Relay;
 use dragonflylug_standins::target::{Behaviour, Mode, TargetConfig};
 use nix::sys::signal::Signal;
-use processes::{Bench, Call, HttpReply, send, wait_for};
+use processes::{Bench, Call, HttpReply, behind_relay, send, wait_for};
 
 /// A lookup, which may run more than once.
 const LOOKUP: Call<'static> = Call {
@@ -214,25 +212,9 @@
     assert_eq!(bench.runs_of(REQUEST), 1);
 }
 
-/// An entry daemon and one guard behind a relay.
-fn behind_relay(service: &str, service_ms: f64) -> (Bench, Relay) {
-    let mut bench = Bench::new();
-    bench.add_entry("a");
-    let relay = bench.runtime.block_on(Relay::start()).unwrap();
-    let peer_advertised_address = Some(relay.address());
-    let settings = Settings {
-        peer_advertised_address,
-        ..bench.settings("a")
-    };
-    let (daemon, _) = bench.add_guard(&settings, target(service, service_ms));
-    relay.set_upstream(bench.daemons[daemon].addresses.peer);
-    bench.settle(0, service, 1);
-    (bench, relay)
-}
-
 #[test]
 fn a_silent_link_is_replaced_within_the_deadline_of_a_lookup() {
-    let (bench, relay) = behind_relay("lookups", 1.0);
+    let (bench, relay) = behind_relay(target("lookups", 1.0));
     let headers = [("x-dragonflylug-deadline-ms", "5000")];
     let lookup = Call {
         headers: &headers,
@@ -247,7 +229,7 @@
 
 #[test]
 fn a_payout_on_a_link_that_falls_silent_is_asked_again_and_runs_once() {
-    let (bench, relay) = behind_relay("payouts", 200.0);
+    let (bench, relay) = behind_relay(target("payouts", 200.0));
     let ticket = take_ticket(&bench, 0);
     let reply = std::thread::scope(|scope| {
         let paying = scope.spawn(|| pay(&bench, 0, &ticket, "10000"));
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -13,6 +13,7 @@
 use dragonflylug::membership::MemberState;
 use dragonflylug::settings::Settings;
 use dragonflylug_standins::platform::Platform;
+use dragonflylug_standins::relay::Relay;
 use dragonflylug_standins::target::{Target, TargetConfig};
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
@@ -236,6 +237,22 @@
     }
 }
 
+/// Starts an entry daemon, and a guard that others reach through a relay only.
+pub fn behind_relay(config: TargetConfig) -> (Bench, Relay) {
+    let mut bench = Bench::new();
+    bench.add_entry("a");
+    let relay = bench.runtime.block_on(Relay::start()).unwrap();
+    let settings = Settings {
+        peer_advertised_address: Some(relay.address()),
+        ..bench.settings("a")
+    };
+    let service = config.service.clone();
+    let (daemon, _) = bench.add_guard(&settings, config);
+    relay.set_upstream(bench.daemons[daemon].addresses.peer);
+    bench.settle(0, &service, 1);
+    (bench, relay)
+}
+
 /// An HTTP call of a test.
 #[derive(Clone, Default)]
 pub struct Call<'a> {
