Wait less in the guard's queue

Cause: in the demo's surge a request that was refused after up to 200 ms in a queue came late on its next try, and its run was in vain. Ruled out: the order of the queue (no inversions in the closed test). A smoothed threshold was not tried. Change: queue_wait_max_ms 200 -> 60.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -108,7 +108,7 @@
     fn default() -> Self {
         Self {
             queue_len_max: 1_000,
-            queue_wait_max_ms: 200,
+            queue_wait_max_ms: 60,
             limit_min: 2,
             background_share_max_percent: 25,
         }
