Split the entry's tries; copy passed-on headers in one place

The headers that are passed on were chosen in platform/ and in the product's own host alike; both go by host::end_to_end. In the product's own interface, headers that Connection names are therefore no longer passed on, as HTTP asks, and a value that cannot be passed on is logged.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -1,5 +1,7 @@
 //! The entry role: takes calls, chooses targets, tries again within bounds and replies.
 
+mod again;
+mod answer;
 mod attempt;
 mod hold;
 mod plan;
--- a/src/host.rs
+++ b/src/host.rs
@@ -3,6 +3,7 @@
 pub mod caller;
 pub mod daemon;
 mod decisions;
+pub mod end_to_end;
 pub mod http;
 pub mod logs;
 pub mod metrics;
--- a/src/host/http.rs
+++ b/src/host/http.rs
@@ -9,6 +9,7 @@
 
 use super::Node;
 use super::caller::Dialect;
+use super::end_to_end;
 use crate::headers;
 use crate::ids::{Caller, RequestId, ServiceName};
 use crate::kernel::CallReply;
@@ -16,20 +17,6 @@
 use crate::run_once::Ticket;
 use crate::verdict::{DoubtReason, RefusalReason, Verdict};
 
-/// Headers that belong to one connection and are not passed on.
-const HOP_HEADERS: [&str; 10] = [
-    "connection",
-    "content-length",
-    "host",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// The greatest length of a caller's name or idempotency key.
 const NAME_BYTES_MAX: usize = 256;
 
@@ -137,21 +124,10 @@
     Ok((ServiceName::from(service), below))
 }
 
-/// Copies the headers that are passed on.
+/// Copies the headers that are passed on between callers and targets.
 pub fn passed_on(header_map: &HeaderMap) -> Vec<Header> {
-    let mut passed = Vec::new();
-    for (name, value) in header_map {
-        let name = name.as_str();
-        if HOP_HEADERS.contains(&name) || name.starts_with(headers::PREFIX) {
-            continue;
-        }
-        let Ok(value) = value.to_str() else { continue };
-        passed.push(Header {
-            name: name.to_string(),
-            value: value.to_string(),
-        });
-    }
-    passed
+    let is_own = |name: &str| name == "host" || name.starts_with(headers::PREFIX);
+    end_to_end::passed_on(header_map, is_own)
 }
 
 fn text<'a>(header_map: &'a HeaderMap, name: &str) -> Result<Option<&'a str>, BadRequest> {
