Repeat reads whose daemon ended; count the busier of the windows before

Cause: an entry lent the only retry of a routed request to the guard, as it does with trees of the product's own interface, and a daemon that ended never gave it back. So reads at a daemon that died or was cut off were answered 502 though a repeat was allowed. Calls of routed requests name no parent: nothing could be spent below, and nothing is lent now. Beside it, the budget of repeats counted the requests of the present window alone; the users' rule takes the busiest of it, the one before and the one half a window before.

Tests failed first: reads_at_a_daemon_that_ends_are_sent_to_another, and the lulls of tests/routed_calls.rs.

Failed try, not kept: the scarcity of repeats, carried up the tree as a pressure, with refusals offered again to the same targets. While a deep service refuses half of its calls, requests that end early spend no repeat, and the lucky ones need few; turning all but some away leaves these few to spend the whole budget.

--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -55,7 +55,7 @@
             return;
         };
         let left_us = call.plan.deadline_us.saturating_sub(now_us);
-        let retries_lent = call.allowance.hand_down(call.allowance.left().div_ceil(2));
+        let retries_lent = call.lend_retries();
         let peer_call = PeerCall {
             from: self.own_id,
             service: call.request.service.clone(),
@@ -151,6 +151,15 @@
 }
 
 impl super::EntryCall {
+    /// Lends half of the retries to what runs below; calls of routed requests name no parent, so
+    /// none could be spent there.
+    fn lend_retries(&mut self) -> u32 {
+        if self.request.routed.is_some() {
+            return 0;
+        }
+        self.allowance.hand_down(self.allowance.left().div_ceil(2))
+    }
+
     fn rank(&self) -> Rank {
         match self.request.routed {
             Some(_) => Rank::of_priority(self.plan.priority),
--- a/src/retry/services.rs
+++ b/src/retry/services.rs
@@ -13,6 +13,9 @@
 /// The parts that a window is counted in.
 const SLICES: usize = 10;
 
+/// The parts that are kept: those of the present window and of the one before it.
+const SLICES_KEPT: usize = 2 * SLICES;
+
 /// Settings of the repeats of a service.
 #[apply(settings!)]
 pub struct ServiceBudgetSettings {
@@ -43,7 +46,7 @@
 /// What was sent to a service in the parts of a sliding window.
 #[derive(Default)]
 struct Window {
-    slices: [Slice; SLICES],
+    slices: [Slice; SLICES_KEPT],
     newest: u64,
 }
 
@@ -80,13 +83,7 @@
     pub fn spend(&mut self, now_us: u64, service: &ServiceName) -> bool {
         let (percent, floor) = (self.settings.repeats_percent, self.settings.repeats_floor);
         let window = self.present(now_us, service);
-        let mut sum = Slice::default();
-        for slice in window.slices {
-            sum.requests += slice.requests;
-            sum.repeats += slice.repeats;
-        }
-        let allowed = floor + sum.requests * percent / 100;
-        if sum.repeats >= allowed {
+        if window.sum(0).repeats >= window.allowed(percent, floor) {
             return false;
         }
         window.slice().repeats += 1;
@@ -108,19 +105,44 @@
 
 impl Window {
     fn advance(&mut self, newest: u64) {
-        let passed = newest.saturating_sub(self.newest).min(SLICES as u64);
+        let passed = newest.saturating_sub(self.newest).min(SLICES_KEPT as u64);
         for step in 1..=passed {
-            let at = (self.newest + step) % SLICES as u64;
+            let at = (self.newest + step) % SLICES_KEPT as u64;
             self.slices[at as usize] = Slice::default();
         }
-        if newest > self.newest + SLICES as u64 {
-            self.slices = [Slice::default(); SLICES];
+        if newest > self.newest + SLICES_KEPT as u64 {
+            self.slices = [Slice::default(); SLICES_KEPT];
         }
         self.newest = self.newest.max(newest);
     }
 
     fn slice(&mut self) -> &mut Slice {
-        &mut self.slices[(self.newest % SLICES as u64) as usize]
+        &mut self.slices[(self.newest % SLICES_KEPT as u64) as usize]
+    }
+
+    /// Returns what was sent in one window that ended some slices ago.
+    fn sum(&self, slices_ago: usize) -> Slice {
+        let mut sum = Slice::default();
+        for ago in slices_ago..slices_ago + SLICES {
+            let at = (self.newest + (SLICES_KEPT - ago) as u64) % SLICES_KEPT as u64;
+            let slice = self.slices[at as usize];
+            sum.requests += slice.requests;
+            sum.repeats += slice.repeats;
+        }
+        sum
+    }
+
+    /// Returns the requests of the busiest of the present window, the one before it and the one
+    /// half a window before it.
+    fn requests(&self) -> u32 {
+        let present = self.sum(0).requests;
+        let half_before = self.sum(SLICES / 2).requests;
+        present.max(half_before).max(self.sum(SLICES).requests)
+    }
+
+    /// Returns the repeats that the present window may have.
+    fn allowed(&self, percent: u32, floor: u32) -> u32 {
+        floor + self.requests() * percent / 100
     }
 }
 
--- a/tests/routed_calls.rs
+++ b/tests/routed_calls.rs
@@ -137,6 +137,76 @@
     assert!(matches!(reply.verdict, Verdict::MayHaveRun(_)));
 }
 
+/// The calls at a daemon that ends; each is told that its connection broke.
+const CALLS_AT_DEATH: u64 = 6;
+
+/// The time for which a target works on each of them.
+const WORK_US: u64 = 400_000;
+
+#[test]
+fn reads_at_a_daemon_that_ends_are_sent_to_another() {
+    let mut network = network();
+    for node in 1..=usize::from(TARGETS) {
+        network.nodes[node].target = Box::new(|_, _| (answered(), WORK_US));
+    }
+    for id in 1..=100 {
+        call(&mut network, 0, id, routed(SERVICE, READ, id));
+        let until_us = network.now_us + WORK_US / 10;
+        network.run_until(until_us);
+    }
+    for id in 101..=100 + CALLS_AT_DEATH {
+        call(&mut network, 0, id, routed(SERVICE, READ, id));
+    }
+    let until_us = network.now_us + WORK_US / 2;
+    network.run_until(until_us);
+    let before = arrivals(&network);
+    network.crash(1);
+    let until_us = network.now_us + 3_000_000;
+    network.run_until(until_us);
+    assert!(
+        arrivals(&network) > before,
+        "none was at the daemon that ended"
+    );
+    for (_, key, reply) in &network.nodes[0].replies {
+        assert_eq!(reply.verdict.name(), "ran", "call {key:?}");
+    }
+    assert_eq!(network.nodes[0].replies.len() as u64, 100 + CALLS_AT_DEATH);
+}
+
+/// Requests that came before, and repeats that may be spent after some seconds without any.
+struct Lull {
+    pause_s: u64,
+    expected: u32,
+}
+
+fn check_lull(case: Lull) {
+    let settings = ServiceBudgetSettings {
+        window_ms: 10_000,
+        repeats_percent: 10,
+        repeats_floor: 1,
+    };
+    let mut budgets = ServiceBudgets::new(settings);
+    let service = SERVICE.into();
+    for second in 0..10 {
+        for _ in 0..20 {
+            budgets.note_request(second * 1_000_000, &service);
+        }
+    }
+    let now_us = (9 + case.pause_s) * 1_000_000;
+    let mut spent = 0;
+    while budgets.spend(now_us, &service) {
+        spent += 1;
+    }
+    assert_eq!(spent, case.expected);
+}
+
+cases! { check_lull:
+    the_present_window_counts => Lull { pause_s: 0, expected: 21 },
+    the_window_half_before_counts_in_a_lull => Lull { pause_s: 5, expected: 21 },
+    the_window_before_counts_in_a_long_lull => Lull { pause_s: 10, expected: 21 },
+    what_is_older_does_not_count => Lull { pause_s: 20, expected: 1 },
+}
+
 #[test]
 fn repeats_are_a_share_of_the_requests_of_a_window() {
     let settings = ServiceBudgetSettings {
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -203,6 +203,16 @@
         self.nodes[node].is_up = false;
     }
 
+    /// Kills a node whose VM goes on: those that wait for it learn that the connection broke.
+    pub fn crash(&mut self, node: usize) {
+        self.kill(node);
+        let inbound = std::mem::take(&mut self.nodes[node].inbound);
+        for (asker, ask) in inbound.values().copied() {
+            let result = Err(LinkError::Lost);
+            self.input_after(self.delay_us, asker, Input::Answered { ask, result });
+        }
+    }
+
     /// Holds back all that reaches a node until a time, as a stopped process would.
     pub fn pause(&mut self, node: usize, until_us: u64) {
         self.nodes[node].paused_until_us = until_us;
