Take callers again sooner after a surge

It now falls by half a second while no work waits at all, and as before while some does.

Ruled out: daemons that are cut off from all others and still get callers.

--- a/src/pressure/level.rs
+++ b/src/pressure/level.rs
@@ -34,6 +34,8 @@
     pub gain_percent: u32,
     /// What is added to the level at twice that wait, in percent.
     pub urgency_percent: u32,
+    /// The fall of the level in a second, in percent, while no work waits at all.
+    pub idle_fall_percent: u32,
 }
 
 impl Default for LevelSettings {
@@ -42,11 +44,13 @@
             wait_aim_ms: 30,
             gain_percent: 10,
             urgency_percent: 30,
+            idle_fall_percent: 50,
         }
     }
 }
 
-/// An integral controller: the level rises while waits are too long, and falls otherwise.
+/// An integral controller: the level rises while waits are too long, and falls otherwise; it falls
+/// faster while no work waits, as after the end of a surge.
 pub struct Level {
     settings: LevelSettings,
     /// The mean wait of each kind of work; the longest counts, so that none is starved.
@@ -90,6 +94,13 @@
         ((longest_us - aim_us) / aim_us).clamp(-1.0, ERROR_MAX)
     }
 
+    fn change_per_s(&self) -> f64 {
+        if self.waits_us.is_empty() {
+            return -f64::from(self.settings.idle_fall_percent) / 100.0;
+        }
+        self.error() * f64::from(self.settings.gain_percent) / 100.0
+    }
+
     /// Moves on to the present in short steps, as the mean waits fade meanwhile.
     fn advance(&mut self, now_us: u64) {
         let oldest_us = now_us.saturating_sub(MEMORY_US);
@@ -102,8 +113,7 @@
     }
 
     fn step(&mut self, step_us: f64) {
-        let gain = f64::from(self.settings.gain_percent) / 100.0;
-        let change = self.error() * gain * step_us / 1_000_000.0;
+        let change = self.change_per_s() * step_us / 1_000_000.0;
         self.level = (self.level + change).clamp(0.0, LEVEL_MAX);
         let kept = 0.5_f64.powf(step_us / WAIT_HALVING_US);
         self.waits_us.retain(|_, wait_us| {
--- a/tests/neck.rs
+++ b/tests/neck.rs
@@ -28,8 +28,7 @@
 fn run(pressure: LevelSettings, load: f64) -> Outcome {
     let load = DeepLoad {
         pressure,
-        load,
-        seconds: SECONDS,
+        phases: vec![(SECONDS, load)],
         ..DeepLoad::default()
     };
     deep::run(&load).outcome(0, SECONDS)
@@ -47,6 +46,7 @@
         wait_aim_ms: 60_000,
         gain_percent: 1,
         urgency_percent: 0,
+        ..LevelSettings::default()
     }
 }
 
@@ -84,3 +84,19 @@
     println!("at four times: {outcome:?}");
     assert!(goodput(&outcome) > GOODPUT_LEFT_MIN);
 }
+
+/// The time after a surge in which callers may still be turned away.
+const RECOVERY_S: u64 = 3;
+
+#[test]
+fn callers_are_taken_again_soon_after_a_surge() {
+    let load = DeepLoad {
+        phases: vec![(SECONDS, 2.0), (SECONDS, 0.7)],
+        ..DeepLoad::default()
+    };
+    let run = deep::run(&load);
+    let after = run.outcome(SECONDS + RECOVERY_S, 2 * SECONDS);
+    println!("after a surge: {after:?}");
+    assert!(after.lookups.share() > 0.99);
+    assert!(after.payments.share() > 0.99);
+}
--- a/tests/support/deep.rs
+++ b/tests/support/deep.rs
@@ -49,9 +49,8 @@
 pub struct DeepLoad {
     pub pressure: LevelSettings,
     pub budget: ServiceBudgetSettings,
-    /// The requests, as a multiple of what the deep service carries.
-    pub load: f64,
-    pub seconds: u64,
+    /// Seconds, each with requests as a multiple of what the deep service carries.
+    pub phases: Vec<(u64, f64)>,
     pub deep: DeepTarget,
 }
 
@@ -60,8 +59,7 @@
         Self {
             pressure: LevelSettings::default(),
             budget: ServiceBudgetSettings::default(),
-            load: 1.0,
-            seconds: 10,
+            phases: vec![(10, 1.0)],
             deep: Rc::new(|_, _| answered()),
         }
     }
@@ -202,11 +200,15 @@
 pub fn run(load: &DeepLoad) -> DeepRun {
     let mut network = network(load);
     let mut rng = ChaCha8Rng::seed_from_u64(11);
-    let per_s = CAPACITY_PER_S * load.load;
-    let count = (per_s * load.seconds as f64) as u64;
     let mut starts_us: Vec<u64> = Vec::new();
-    for _ in 0..count {
-        starts_us.push(SETTLE_US + rng.random_range(0..load.seconds * SECOND_US));
+    let mut from_us = SETTLE_US;
+    for (seconds, load) in &load.phases {
+        let until_us = from_us + seconds * SECOND_US;
+        let count = (CAPACITY_PER_S * load * *seconds as f64) as u64;
+        for _ in 0..count {
+            starts_us.push(rng.random_range(from_us..until_us));
+        }
+        from_us = until_us;
     }
     starts_us.sort_unstable();
     for (at, start_us) in starts_us.iter().enumerate() {
