Begin links with small buffers, and send bodies in smaller parts

Cause: each link between daemons began with 8 KiB of buffer each way at both ends and kept what its largest frame had needed; a part of a body was 128 KiB. Buffers begin with 1 KiB and parts have 32 KiB.

--- a/src/host/peer.rs
+++ b/src/host/peer.rs
@@ -13,7 +13,7 @@
 use rand::Rng;
 use tarpc::server::{BaseChannel, Channel};
 use tarpc::tokio_serde::formats::Bincode;
-use tarpc::tokio_util::codec::LengthDelimitedCodec;
+use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio::net::{TcpListener, TcpStream};
 
 use super::{Node, PeerLink, lock};
@@ -32,6 +32,12 @@
 /// The room of a frame beside the body that it carries.
 const FRAME_OVERHEAD_BYTES: usize = 64 * 1024;
 
+/// The buffers that a connection begins with, each way.
+const BUFFER_BYTES: usize = 1024;
+
+/// The bytes that are written at once at least, while there are more.
+const FLUSH_BYTES: usize = 8 * 1024;
+
 /// The wait before the listener accepts again after an error.
 const ACCEPT_RETRY: Duration = Duration::from_millis(50);
 
@@ -167,11 +173,14 @@
     }
 }
 
-/// The frames of a connection between daemons.
-fn frames(body_bytes_max: usize) -> LengthDelimitedCodec {
-    LengthDelimitedCodec::builder()
+/// The frames of a connection between daemons; its buffers grow with what it carries.
+fn frames(stream: TcpStream, body_bytes_max: usize) -> Framed<TcpStream, LengthDelimitedCodec> {
+    let codec = LengthDelimitedCodec::builder()
         .max_frame_length(body_bytes_max + FRAME_OVERHEAD_BYTES)
-        .new_codec()
+        .new_codec();
+    let mut framed = Framed::with_capacity(stream, codec, BUFFER_BYTES);
+    framed.set_backpressure_boundary(FLUSH_BYTES);
+    framed
 }
 
 /// The room for bodies in parts, as a multiple of the greatest body.
@@ -208,8 +217,7 @@
 
     async fn serve_connection(self, stream: TcpStream) {
         let _ = stream.set_nodelay(true);
-        let codec = frames(self.body_bytes_max);
-        let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+        let framed = frames(stream, self.body_bytes_max);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let config = tarpc::server::Config {
             pending_response_buffer: IN_FLIGHT_MAX,
--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -218,8 +218,7 @@
 
     fn open(&self, stream: TcpStream) -> Connection {
         let _ = stream.set_nodelay(true);
-        let codec = frames(self.limits.body_bytes_max);
-        let framed = tarpc::tokio_util::codec::Framed::new(stream, codec);
+        let framed = frames(stream, self.limits.body_bytes_max);
         let transport = tarpc::serde_transport::new(framed, Bincode::default());
         let mut config = tarpc::client::Config::default();
         config.max_in_flight_requests = IN_FLIGHT_MAX;
--- a/src/host/peer/parts.rs
+++ b/src/host/peer/parts.rs
@@ -9,7 +9,7 @@
 use crate::verdict::Verdict;
 
 /// The greatest body that travels inside its message, and the size of a part.
-pub(super) const PART_BYTES: usize = 128 * 1024;
+pub(super) const PART_BYTES: usize = 32 * 1024;
 
 /// The time for which a body is held for the other side.
 const HOLD: Duration = Duration::from_secs(30);
--- /dev/null
+++ b/tests/support/filler.rs
@@ -0,0 +1,112 @@
+//! A node behind a real listener that answers each question with as many bytes as asked for.
+
+#![allow(dead_code)]
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use dragonflylug::calls;
+use dragonflylug::host::metrics::Metrics;
+use dragonflylug::host::peer::{PeerHost, PeerLimits, PeerLinks};
+use dragonflylug::host::platform::HttpPlatform;
+use dragonflylug::host::target::TargetClient;
+use dragonflylug::host::{Links, MonotonicClock, Node};
+use dragonflylug::ids::{MemberId, Priority, RequestId, RootId};
+use dragonflylug::kernel::{Context, Event, Kernel, Service};
+use dragonflylug::peer::{PeerAnswer, PeerQuestion};
+use dragonflylug::request::{Answer, HttpRequest, LoadReport, PeerCall, PeerReply, RunKey};
+use dragonflylug::routes::NoRoutes;
+use dragonflylug::verdict::Verdict;
+use tokio::net::TcpListener;
+
+/// The greatest body.
+pub const BODY_BYTES_MAX: usize = 16 * 1024 * 1024;
+
+/// The time for an answer; no test waits for it to pass.
+pub const PATIENCE: Duration = Duration::from_secs(60);
+
+/// Answers each call with as many bytes as its path says.
+struct Filler;
+
+impl Service for Filler {
+    fn name(&self) -> &'static str {
+        calls::NAME
+    }
+
+    fn handle(&mut self, context: &mut Context<'_>, event: Event) {
+        let Event::Asked {
+            inbound,
+            question: PeerQuestion::Call(call),
+        } = event
+        else {
+            return;
+        };
+        let bytes: usize = call.http.path[1..].parse().unwrap();
+        let reply = PeerReply {
+            verdict: Verdict::Ran(Answer::new(200, Vec::new(), vec![7; bytes].into())),
+            retries_unspent: 0,
+            is_failed_below: false,
+            holder: None,
+            load: LoadReport::default(),
+            config_version: 0,
+        };
+        context.answer(inbound, PeerAnswer::Call(Box::new(reply)));
+    }
+}
+
+/// Asks for an answer with a number of bytes.
+pub fn question(bytes: usize) -> PeerQuestion {
+    PeerQuestion::Call(Box::new(PeerCall {
+        from: MemberId(1),
+        service: "filler".into(),
+        request: RequestId(1),
+        root: RootId(1),
+        depth: 0,
+        priority: Priority::Normal,
+        deadline_left_ms: 60_000,
+        retries: 0,
+        is_idempotent: true,
+        run_key: RunKey::None,
+        config_version: 0,
+        trace_id: None,
+        route: None,
+        is_repeat: false,
+        http: HttpRequest {
+            method: "GET".to_string(),
+            path: format!("/{bytes}"),
+            headers: Vec::new(),
+            body: Default::default(),
+        },
+    }))
+}
+
+/// Starts a node that answers with [`Filler`] and returns its peer address.
+pub async fn start_filler() -> SocketAddr {
+    let mut kernel = Kernel::new(1);
+    kernel.register(Box::new(Filler));
+    let platform = HttpPlatform::new("http://127.0.0.1:1", PATIENCE);
+    let links = Links {
+        clock: Box::new(MonotonicClock::default()),
+        peers: Box::new(PeerLinks::new(PeerLimits::default())),
+        target: Arc::new(TargetClient::default()),
+        table: Box::new(platform.clone()),
+        objects: Box::new(platform),
+        routes: Box::new(NoRoutes),
+        metrics: Arc::new(Metrics::new().unwrap()),
+    };
+    let node = Node::new(kernel, links);
+    node.start();
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    tokio::spawn(PeerHost::new(node, BODY_BYTES_MAX).serve(listener));
+    address
+}
+
+/// Makes links that carry bodies up to the greatest one.
+pub fn peer_links() -> PeerLinks {
+    PeerLinks::new(PeerLimits {
+        body_bytes_max: BODY_BYTES_MAX,
+        ..PeerLimits::default()
+    })
+}
