--- a/src/host/caller.rs
+++ b/src/host/caller.rs
@@ -8,7 +8,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
 use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderValue};
+use hyper::header::{CONNECTION, HeaderName, HeaderValue};
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
@@ -27,6 +27,9 @@
 use crate::target::Announcement;
 use crate::verdict::{RefusalReason, Verdict};
 
+/// Tells a caller for how long it may keep an idle connection.
+const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+
 /// The path at which targets announce themselves.
 const ANNOUNCE_PATH: &str = "/announce";
 
@@ -39,6 +42,9 @@
 /// The room that is kept for a body of unknown length.
 const UNKNOWN_BODY_BYTES: u64 = 1024 * 1024;
 
+/// The time that is left for a request head where a caller uses a connection as late as it may.
+const IDLE_RESERVE: Duration = Duration::from_secs(3);
+
 /// What a listener bounds.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct CallerLimits {
@@ -48,6 +54,9 @@
     pub body_bytes_max: usize,
     /// The time for a whole request head, and again for its body.
     pub read_timeout: Duration,
+    /// The time after which a connection without a request is closed, where that is shorter;
+    /// callers are told a time that ends before.
+    pub idle_timeout: Duration,
     /// The bytes of bodies that are held at once; more is answered 503.
     pub bodies_bytes_max: usize,
 }
@@ -58,11 +67,28 @@
             connections_max: 1_000,
             body_bytes_max: 8 * 1024 * 1024,
             read_timeout: Duration::from_secs(10),
+            idle_timeout: Duration::from_secs(10),
             bodies_bytes_max: 256 * 1024 * 1024,
         }
     }
 }
 
+impl CallerLimits {
+    /// Returns the time from the end of one request to the whole head of the next.
+    fn head_timeout(&self) -> Duration {
+        self.read_timeout.min(self.idle_timeout)
+    }
+
+    /// Returns what callers are told of the time for which they may keep a connection.
+    fn keep_alive(&self) -> Option<HeaderValue> {
+        let kept = self.head_timeout().checked_sub(IDLE_RESERVE)?;
+        if kept.as_secs() == 0 {
+            return None;
+        }
+        HeaderValue::from_str(&format!("timeout={}", kept.as_secs())).ok()
+    }
+}
+
 /// The HTTP form in which callers speak: how a request is read and a reply written.
 pub trait Dialect: Send + Sync {
     /// Reads a call.
@@ -156,7 +182,7 @@
         let is_stopping = self.node.is_stopping();
         let connection = hyper::server::conn::http1::Builder::new()
             .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.read_timeout)
+            .header_read_timeout(self.limits.head_timeout())
             .keep_alive(!is_stopping)
             .serve_connection(TokioIo::new(stream), service);
         let mut connection = std::pin::pin!(connection);
@@ -203,6 +229,8 @@
         if self.node.is_stopping() || !self.keeps_connections.load(Ordering::Relaxed) {
             let close = HeaderValue::from_static("close");
             response.headers_mut().insert(CONNECTION, close);
+        } else if let Some(kept) = self.limits.keep_alive() {
+            response.headers_mut().insert(KEEP_ALIVE, kept);
         }
         response
     }
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -193,6 +193,7 @@
         connections_max: settings.call_connections_max,
         body_bytes_max: settings.body_bytes_max,
         read_timeout: Duration::from_millis(settings.read_timeout_ms),
+        idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
         ..CallerLimits::default()
     }
 }
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -134,6 +134,7 @@
             connections_max: settings.node.call_connections_max,
             body_bytes_max: settings.node.body_bytes_max,
             read_timeout: Duration::from_millis(settings.node.read_timeout_ms),
+            idle_timeout: Duration::from_millis(settings.node.idle_timeout_ms),
             bodies_bytes_max: settings.bodies_bytes_max,
         };
         let host = CallerHost::new(Arc::clone(&node), limits, dialect, None);
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -50,6 +50,9 @@
     pub body_bytes_max: usize,
     /// The time for a whole request head, and again for its body.
     pub read_timeout_ms: u64,
+    /// The time after which a caller's connection without a request is closed, where that is
+    /// shorter than the time for a request head.
+    pub idle_timeout_ms: u64,
     /// The connections of callers that are served at once.
     pub call_connections_max: usize,
     /// How calls are taken, tried again and ended.
@@ -128,6 +131,7 @@
             log: LogSettings::default(),
             body_bytes_max: 8 * 1024 * 1024,
             read_timeout_ms: 10_000,
+            idle_timeout_ms: 10_000,
             call_connections_max: 1_000,
             entry: EntrySettings::default(),
             guard: GuardSettings::default(),
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -23,6 +23,7 @@
     bound("platform_timeout_ms", 10, 60_000),
     bound("body_bytes_max", 1, 1_073_741_824),
     bound("read_timeout_ms", 100, 600_000),
+    bound("idle_timeout_ms", 100, 600_000),
     bound("entry.retry_after_ms", 1, 60_000),
     bound("entry.deadline_ms", 1, 3_600_000),
     bound("entry.retries", 0, 100),
--- a/tests/interface.rs
+++ b/tests/interface.rs
@@ -6,6 +6,7 @@
 use std::io::{Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::path::PathBuf;
+use std::time::{Duration, Instant};
 
 use dragonflylug::settings::Settings;
 use processes::{Bench, Call, DaemonProcess, TOKEN, agent, send, wait_for};
@@ -116,6 +117,25 @@
     );
 }
 
+#[test]
+fn an_idle_connection_is_closed_after_the_time_that_its_caller_was_told() {
+    let bench = Bench::new();
+    let settings = Settings {
+        idle_timeout_ms: 4_500,
+        ..bench.settings("a")
+    };
+    let daemon = DaemonProcess::start(&settings);
+    let mut stream = TcpStream::connect(daemon.addresses.caller).unwrap();
+    stream
+        .write_all(b"GET /nowhere/ HTTP/1.1\r\nhost: a\r\n\r\n")
+        .unwrap();
+    let answered = Instant::now();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    assert!(answer.contains("keep-alive: timeout=1\r\n"), "{answer}");
+    assert!(answered.elapsed() > Duration::from_secs(1));
+}
+
 /// Sends an operator's request and returns the status and body.
 fn operate(
     daemon: &DaemonProcess,
