--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -47,9 +47,13 @@
 
 impl Bench {
     fn new(members: &[Member]) -> Self {
+        Self::with_settings(members, RoutingSettings::default())
+    }
+
+    fn with_settings(members: &[Member], settings: RoutingSettings) -> Self {
         let mut kernel = Kernel::new(1);
         let zone = AvailabilityZone::from("a");
-        let router = Router::new(RoutingSettings::default(), zone, MemberId(0));
+        let router = Router::new(settings, zone, MemberId(0));
         kernel.register(Box::new(router));
         kernel.start(0);
         let mut bench = Self {
@@ -201,6 +205,36 @@
     assert_eq!(bench.shares(now_us)[2], 1_000);
 }
 
+/// The load of a target in the own zone, in percent, and whether it is still chosen.
+struct Spill {
+    in_flight: u32,
+    is_near: bool,
+}
+
+fn check_spill(case: Spill) {
+    let settings = RoutingSettings {
+        zone_spill_percent: 95,
+        ..RoutingSettings::default()
+    };
+    let members = [
+        member(1, "a", MemberState::Alive),
+        member(2, "b", MemberState::Alive),
+    ];
+    let mut bench = Bench::with_settings(&members, settings);
+    let now_us = 10 * SECOND_US;
+    for (id, in_flight) in [(1, case.in_flight), (2, 0)] {
+        let load = report(Rank::LEAST, in_flight);
+        bench.ended(now_us, id, TryOutcome::Answered, Some(load));
+    }
+    let chosen = if case.is_near { 1 } else { 2 };
+    assert_eq!(bench.shares(now_us)[chosen], 1_000);
+}
+
+cases! { check_spill:
+    a_target_nearby_is_used_up_to_the_load_that_is_set => Spill { in_flight: 90, is_near: true },
+    above_that_load_other_zones_are_used => Spill { in_flight: 96, is_near: false },
+}
+
 #[test]
 fn a_threshold_refuses_while_it_is_fresh_but_for_probes() {
     let mut bench = Bench::new(&[member(1, "a", MemberState::Alive)]);
