--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -205,7 +205,7 @@
     assert_eq!(bench.shares(now_us)[2], 1_000);
 }
 
-/// The load of a target in the own zone, in percent, and whether it is still chosen.
+/// The requests at a target in the own zone with a limit of 90, and whether it is still chosen.
 struct Spill {
     in_flight: u32,
     is_near: bool,
@@ -231,8 +231,8 @@
 }
 
 cases! { check_spill:
-    a_target_nearby_is_used_up_to_the_load_that_is_set => Spill { in_flight: 90, is_near: true },
-    above_that_load_other_zones_are_used => Spill { in_flight: 96, is_near: false },
+    a_target_nearby_is_used_up_to_the_load_that_is_set => Spill { in_flight: 83, is_near: true },
+    above_that_load_other_zones_are_used => Spill { in_flight: 86, is_near: false },
 }
 
 #[test]
