Write the last log lines before a sidecar ends

The end now waits for what was handed over, at most 150 ms, so a reader that stopped reading holds nobody up.

--- a/src/host/logs.rs
+++ b/src/host/logs.rs
@@ -23,6 +23,9 @@
 /// The time over which lines are gathered into one write.
 const GATHER: Duration = Duration::from_millis(50);
 
+/// The time for which the end of the process waits for its last lines.
+const FLUSH_MAX: Duration = Duration::from_millis(150);
+
 /// The greatest size of one write.
 const WRITE_BYTES_MAX: usize = 64 * 1024;
 
@@ -49,11 +52,18 @@
     log::set_max_level(greatest(level));
 }
 
+/// What the writing thread is handed.
+enum Entry {
+    Line(Vec<u8>),
+    /// Answered once all before it is written.
+    Flush(SyncSender<()>),
+}
+
 /// Lines that a thread writes.
 #[derive(Debug)]
 pub struct BoundedLines {
     layout: JsonLayout,
-    lines: SyncSender<Vec<u8>>,
+    lines: SyncSender<Entry>,
     left_out: Arc<AtomicU64>,
 }
 
@@ -74,11 +84,17 @@
     /// Hands over a line without its end; it is left out where too many wait.
     pub fn push(&self, mut line: Vec<u8>) {
         line.push(b'\n');
-        if self.lines.try_send(line).is_err() {
+        if self.lines.try_send(Entry::Line(line)).is_err() {
             self.left_out.fetch_add(1, Ordering::Relaxed);
         }
     }
 
+    /// Waits until what was handed over is written, for a bounded time; says whether it is.
+    pub fn flush_within(&self, time: Duration) -> bool {
+        let (done, written) = sync_channel(1);
+        self.lines.try_send(Entry::Flush(done)).is_ok() && written.recv_timeout(time).is_ok()
+    }
+
     /// Returns the lines that were left out and not yet reported.
     pub fn left_out(&self) -> u64 {
         self.left_out.load(Ordering::Relaxed)
@@ -92,32 +108,59 @@
     }
 
     fn flush(&self) -> Result<(), Error> {
-        Ok(())
+        match self.flush_within(FLUSH_MAX) {
+            true => Ok(()),
+            false => Err(Error::new("log lines were not written in time")),
+        }
     }
 }
 
 /// Writes what comes until the process ends; what cannot be written is lost.
 fn write_lines(
-    receiver: &Receiver<Vec<u8>>,
+    receiver: &Receiver<Entry>,
     mut writer: Box<dyn Write + Send>,
     left_out: &AtomicU64,
 ) {
-    while let Ok(mut text) = receiver.recv() {
-        std::thread::sleep(GATHER);
-        while text.len() < WRITE_BYTES_MAX {
-            let Ok(line) = receiver.try_recv() else {
+    while let Ok(first) = receiver.recv() {
+        let mut batch = Batch::default();
+        batch.add(first);
+        if batch.flushes.is_empty() {
+            std::thread::sleep(GATHER);
+        }
+        while batch.text.len() < WRITE_BYTES_MAX {
+            let Ok(entry) = receiver.try_recv() else {
                 break;
             };
-            text.extend_from_slice(&line);
+            batch.add(entry);
         }
         let missing = left_out.swap(0, Ordering::Relaxed);
         if missing > 0 {
             let line = format!("{{\"level\":\"WARN\",\"message\":\"{missing} lines left out\"}}\n");
-            text.extend_from_slice(line.as_bytes());
+            batch.text.extend_from_slice(line.as_bytes());
         }
-        if writer.write_all(&text).is_err() {
+        if writer.write_all(&batch.text).is_err() {
             left_out.fetch_add(1, Ordering::Relaxed);
         }
+        for done in batch.flushes {
+            // Whoever waited for it may have given up.
+            let _ = done.try_send(());
+        }
+    }
+}
+
+/// Lines of one write, and those that wait for it.
+#[derive(Default)]
+struct Batch {
+    text: Vec<u8>,
+    flushes: Vec<SyncSender<()>>,
+}
+
+impl Batch {
+    fn add(&mut self, entry: Entry) {
+        match entry {
+            Entry::Line(line) => self.text.extend_from_slice(&line),
+            Entry::Flush(done) => self.flushes.push(done),
+        }
     }
 }
 
--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -54,3 +54,53 @@
     }
     assert!(all.starts_with(b"first\n"));
 }
+
+/// A writer that keeps what it is given.
+struct Kept(Sender<Vec<u8>>);
+
+impl Write for Kept {
+    fn write(&mut self, text: &[u8]) -> std::io::Result<usize> {
+        let _ = self.0.send(text.to_vec());
+        Ok(text.len())
+    }
+
+    fn flush(&mut self) -> std::io::Result<()> {
+        Ok(())
+    }
+}
+
+/// The time for a condition that is waited for.
+const PATIENCE: Duration = Duration::from_secs(60);
+
+#[test]
+fn the_last_lines_are_written_before_a_flush_is_over() {
+    let (written, texts) = channel();
+    let lines = BoundedLines::start(Box::new(Kept(written)));
+    for _ in 0..100 {
+        lines.push(b"line".to_vec());
+    }
+    lines.push(b"stopped".to_vec());
+    assert!(lines.flush_within(PATIENCE));
+    let mut all = Vec::new();
+    while let Ok(text) = texts.try_recv() {
+        all.extend(text);
+    }
+    assert!(all.ends_with(b"line\nstopped\n"));
+}
+
+#[test]
+fn a_reader_that_stops_reading_does_not_hold_up_the_end() {
+    let (begun, is_begun) = channel();
+    let (_let_go, go_on) = channel();
+    let (written, _texts) = channel();
+    let lines = BoundedLines::start(Box::new(Stuck {
+        begun,
+        go_on,
+        written,
+    }));
+    lines.push(b"first".to_vec());
+    is_begun.recv().unwrap();
+    let started = Instant::now();
+    assert!(!lines.flush_within(Duration::from_millis(20)));
+    assert!(started.elapsed() < Duration::from_secs(5));
+}
