--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -44,6 +44,7 @@
     bound("admission.pressure.wait_aim_ms", 1, 60_000),
     bound("admission.pressure.gain_percent", 1, 10_000),
     bound("admission.pressure.urgency_percent", 0, 10_000),
+    bound("admission.pressure.idle_fall_percent", 0, 10_000),
     bound("routing.ejected_share_max_percent", 0, 100),
     bound("routing.ejection_ms", 1, 3_600_000),
     bound("routing.ejection_max_ms", 1, 3_600_000),
