--- a/tests/log_lines.rs
+++ b/tests/log_lines.rs
@@ -28,8 +28,9 @@
     }
 }
 
-#[test]
-fn a_reader_that_stops_reading_holds_nobody_up() {
+/// Starts lines whose writer is held up in its first line, until the sender that is returned is
+/// dropped; what it writes then comes out of the receiver.
+fn start_stuck() -> (BoundedLines, Sender<()>, Receiver<Vec<u8>>) {
     let (begun, is_begun) = channel();
     let (let_go, go_on) = channel();
     let (written, texts) = channel();
@@ -40,6 +41,12 @@
     }));
     lines.push(b"first".to_vec());
     is_begun.recv().unwrap();
+    (lines, let_go, texts)
+}
+
+#[test]
+fn a_reader_that_stops_reading_holds_nobody_up() {
+    let (lines, let_go, texts) = start_stuck();
     let started = Instant::now();
     for _ in 0..LINES {
         lines.push(b"line".to_vec());
@@ -90,16 +97,7 @@
 
 #[test]
 fn a_reader_that_stops_reading_does_not_hold_up_the_end() {
-    let (begun, is_begun) = channel();
-    let (_let_go, go_on) = channel();
-    let (written, _texts) = channel();
-    let lines = BoundedLines::start(Box::new(Stuck {
-        begun,
-        go_on,
-        written,
-    }));
-    lines.push(b"first".to_vec());
-    is_begun.recv().unwrap();
+    let (lines, _let_go, _texts) = start_stuck();
     let started = Instant::now();
     assert!(!lines.flush_within(Duration::from_millis(20)));
     assert!(started.elapsed() < Duration::from_secs(5));
