Log each report, notice and probe of the target with its start, sequence and outcome

Three hypotheses fitted, and no log line said which report, notice or probe of the target was recorded or ignored.

No decision changes.

--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -195,7 +195,17 @@
     /// Handles a report of the target and returns what it changed.
     pub fn handle_target_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
         let now_us = self.clock.now_us();
-        let outcome = lock(&self.target_watch).record_report(now_us, report);
+        let outcome = lock(&self.target_watch).record_report(now_us, report.clone());
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = report.instance.as_str(),
+            started_at_ms = report.started_at_ms,
+            sequence = report.sequence,
+            is_leaving = report.is_leaving,
+            outcome = outcome.name();
+            "report of the target"
+        );
         if outcome == ReportOutcome::Changed {
             self.announce_target();
         }
@@ -209,7 +219,16 @@
         instance: &InstanceId,
         started_at_ms: Option<u64>,
     ) {
-        if lock(&self.target_watch).record_leaving(instance, started_at_ms) {
+        let is_current = lock(&self.target_watch).record_leaving(instance, started_at_ms);
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = instance.as_str(),
+            started_at_ms,
+            is_current;
+            "notice that the target leaves"
+        );
+        if is_current {
             self.announce_target();
         }
     }
@@ -245,6 +264,12 @@
             let Some(instance) = self.target.probe(&path).await else {
                 continue;
             };
+            log::info!(
+                target: "dragonflylug",
+                subject = "target",
+                instance = instance.as_str();
+                "probe of the target succeeded"
+            );
             self.handle_target_report(TargetReport {
                 instance,
                 started_at_ms: None,
@@ -271,6 +296,7 @@
             tokio::time::sleep(TARGET_CHECK_PERIOD).await;
             let now_us = self.clock.now_us();
             if lock(&self.target_watch).remove_if_silent(now_us, silence_us) {
+                log::info!(target: "dragonflylug", subject = "target"; "the target counts as lost: no report in time");
                 self.node.submit(Input::Notice(Notice::TargetSilent));
             }
         }
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -38,6 +38,17 @@
     Changed,
 }
 
+impl ReportOutcome {
+    /// Returns the name of the outcome in log lines.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Stale => "stale",
+            Self::Unchanged => "unchanged",
+            Self::Changed => "changed",
+        }
+    }
+}
+
 /// The current start of the target, with its latest report.
 struct CurrentStart {
     report: TargetReport,
