--- a/src/host/server.rs
+++ b/src/host/server.rs
@@ -13,6 +13,8 @@
 use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 
+use crate::table::BoxFuture;
+
 /// The maximum size of a request body.
 const BODY_BYTES_MAX: usize = 64 * 1024;
 
@@ -22,7 +24,7 @@
 /// A handler of the requests to a server.
 pub trait RequestHandler: Send + Sync {
     /// Handles a request and returns the response.
-    fn handle(&self, head: &Parts, body: Bytes) -> Response<Full<Bytes>>;
+    fn handle<'a>(&'a self, head: &'a Parts, body: Bytes) -> BoxFuture<'a, Response<Full<Bytes>>>;
 }
 
 /// Accepts connections until the task is aborted.
@@ -42,7 +44,7 @@
         async move {
             let (head, body) = request.into_parts();
             let response = match Limited::new(body, BODY_BYTES_MAX).collect().await {
-                Ok(body) => handler.handle(&head, body.to_bytes()),
+                Ok(body) => handler.handle(&head, body.to_bytes()).await,
                 Err(_) => empty_response(StatusCode::PAYLOAD_TOO_LARGE),
             };
             Ok::<_, Infallible>(response)
