Keep a departure without a start time for every start of its instance

What callers saw: requests ran at a target up to 3 s after it had said that it leaves (DRAIN).

Cause: the notice carried no start time and the sidecar, just restarted, knew no start of that instance. It was kept as (instance, no start) and compared for equality, so that a repeated report of the start, 5 s late, did not match and made the target ready. The same comparison let a probe, which gives no start time, revive a start that had left with one.

Change: Departures decides whether a report may come from a start that left. A report without a start time may come from any start of its instance, and a departure of an unknown start applies to all of them for 30 s: long beside reports that are late by seconds, short enough that a restart under the same identifier is used again.

--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -219,7 +219,8 @@
         instance: &InstanceId,
         started_at_ms: Option<u64>,
     ) {
-        let is_current = lock(&self.target_watch).record_leaving(instance, started_at_ms);
+        let now_us = self.clock.now_us();
+        let is_current = lock(&self.target_watch).record_departure(now_us, instance, started_at_ms);
         log::info!(
             target: "dragonflylug",
             subject = "target",
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,7 +1,9 @@
 //! The target beside a daemon, as described by its announcements.
 
+mod departures;
 mod watch;
 
+pub use departures::Departures;
 pub use watch::{ReportOutcome, TargetReport, TargetWatch};
 
 use macro_rules_attribute::apply;
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -3,11 +3,9 @@
 //! A start is one execution of the target's process, identified by its instance identifier and its
 //! start time. Two starts may have the same instance identifier.
 
+use super::Departures;
 use crate::ids::{InstanceId, ServiceName};
 
-/// The maximum number of starts that are remembered as leaving; the oldest is forgotten first.
-const LEAVING_STARTS_MAX: usize = 32;
-
 /// The state that a target reports about itself to a daemon that is configured by a route table;
 /// the daemon creates the [`Announcement`](super::Announcement) of the target from it.
 #[derive(Clone, Debug, PartialEq)]
@@ -60,13 +58,14 @@
 #[derive(Default)]
 pub struct TargetWatch {
     current: Option<CurrentStart>,
-    leaving: Vec<(InstanceId, Option<u64>)>,
+    departures: Departures,
 }
 
 impl TargetWatch {
     /// Records a report.
     pub fn record_report(&mut self, now_us: u64, mut report: TargetReport) -> ReportOutcome {
-        if self.has_announced_leaving(&report.instance, report.started_at_ms) {
+        let (instance, started_at_ms) = (&report.instance, report.started_at_ms);
+        if self.departures.cover(now_us, instance, started_at_ms) {
             return ReportOutcome::Stale;
         }
         let Some(current) = &mut self.current else {
@@ -102,26 +101,29 @@
 
     /// Records that a start of the target announced that it is leaving, so that its later reports
     /// are ignored; returns whether this applies to the current start.
-    pub fn record_leaving(&mut self, instance: &InstanceId, started_at_ms: Option<u64>) -> bool {
+    ///
+    /// Without a start time the departure is that of the current start, if the instance is the same.
+    pub fn record_departure(
+        &mut self,
+        now_us: u64,
+        instance: &InstanceId,
+        started_at_ms: Option<u64>,
+    ) -> bool {
         let current = self
             .current
             .as_mut()
             .filter(|current| current.report.instance == *instance);
-        let started_at_ms = match &current {
-            Some(current) if started_at_ms.is_none() => current.report.started_at_ms,
-            _ => started_at_ms,
+        let Some(current) = current else {
+            self.departures.record(now_us, instance, started_at_ms);
+            return false;
         };
-        if self.leaving.len() >= LEAVING_STARTS_MAX {
-            self.leaving.remove(0);
-        }
-        self.leaving.push((instance.clone(), started_at_ms));
-        match current {
-            Some(current) if !is_older(started_at_ms, current.report.started_at_ms) => {
-                current.report.is_leaving = true;
-                true
-            }
-            _ => false,
+        let started_at_ms = started_at_ms.or(current.report.started_at_ms);
+        self.departures.record(now_us, instance, started_at_ms);
+        if is_older(started_at_ms, current.report.started_at_ms) {
+            return false;
         }
+        current.report.is_leaving = true;
+        true
     }
 
     /// Returns the latest report of the current start.
@@ -141,18 +143,6 @@
         }
         is_silent
     }
-
-    fn has_announced_leaving(&self, instance: &InstanceId, started_at_ms: Option<u64>) -> bool {
-        for (gone, gone_started_at_ms) in &self.leaving {
-            if gone == instance
-                && (started_at_ms == *gone_started_at_ms
-                    || is_older(started_at_ms, *gone_started_at_ms))
-            {
-                return true;
-            }
-        }
-        false
-    }
 }
 
 /// Returns whether both start times are reported and the first is earlier.
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -44,7 +44,7 @@
 fn a_process_that_left_is_never_accepted_again() {
     let mut watch = TargetWatch::default();
     watch.record_report(0, report("a", 1, 1, false));
-    assert!(watch.record_leaving(&"a".into(), None));
+    assert!(watch.record_departure(0, &"a".into(), None));
     assert!(watch.report().unwrap().is_leaving);
     assert_eq!(
         watch.record_report(0, report("a", 1, 5, false)),
@@ -61,7 +61,7 @@
 fn a_late_leave_notification_of_an_older_process_is_ignored() {
     let mut watch = TargetWatch::default();
     watch.record_report(0, report("a", 2, 1, false));
-    assert!(!watch.record_leaving(&"a".into(), Some(1)));
+    assert!(!watch.record_departure(0, &"a".into(), Some(1)));
     assert!(!watch.report().unwrap().is_leaving);
 }
 
@@ -73,3 +73,78 @@
     assert!(watch.remove_if_silent(4_501, 4_500));
     assert!(watch.report().is_none());
 }
+
+/// What a daemon records about the target beside it.
+#[derive(Clone)]
+enum Step {
+    /// A report.
+    Report(TargetReport),
+    /// A departure of an instance, with its start time if it gives one.
+    Departure(&'static str, Option<u64>),
+    /// Time passes until a target without a new report counts as lost.
+    Silence,
+}
+
+/// How long a target may send no report.
+const SILENCE_US: u64 = 4_500_000;
+
+/// Records steps, then a report that is late, repeated or without a start time; fails if the target
+/// counts as ready after it.
+fn check_target_is_not_ready(case: (Vec<Step>, TargetReport)) {
+    let (steps, last) = case;
+    let mut watch = TargetWatch::default();
+    let mut now_us = 0;
+    for step in steps {
+        match step {
+            Step::Report(report) => {
+                watch.record_report(now_us, report);
+            }
+            Step::Departure(instance, started_at_ms) => {
+                watch.record_departure(now_us, &instance.into(), started_at_ms);
+            }
+            Step::Silence => {
+                now_us += SILENCE_US + 1;
+                watch.remove_if_silent(now_us, SILENCE_US);
+            }
+        }
+    }
+    watch.record_report(now_us, last);
+    let is_ready = watch.report().is_some_and(|report| !report.is_leaving);
+    assert!(!is_ready, "{:?}", watch.report());
+}
+
+/// Creates a report without a start time, as a probe gives it.
+fn unversioned(instance: &str, sequence: u64) -> TargetReport {
+    TargetReport {
+        started_at_ms: None,
+        ..report(instance, 0, sequence, false)
+    }
+}
+
+cases! { check_target_is_not_ready:
+    late_report_after_a_departure_without_start_time_at_a_daemon_without_reports => (
+        vec![Step::Departure("a", None)],
+        report("a", 1, 10, false),
+    ),
+    late_report_after_a_departure_without_start_time_and_silence => (
+        vec![Step::Report(report("a", 1, 9, false)), Step::Silence, Step::Departure("a", None)],
+        report("a", 1, 10, false),
+    ),
+    probe_after_a_departure_at_a_daemon_without_reports => (
+        vec![Step::Departure("a", Some(1))],
+        unversioned("a", 0),
+    ),
+    late_report_of_an_earlier_start_after_a_departure => (
+        vec![Step::Departure("a", Some(5))],
+        report("a", 4, 10, false),
+    ),
+}
+
+/// A restart under the same identifier must not be mistaken for the start that left forever.
+#[test]
+fn a_start_that_begins_long_after_a_departure_of_an_unknown_start_is_accepted() {
+    let mut watch = TargetWatch::default();
+    watch.record_departure(0, &"a".into(), None);
+    let outcome = watch.record_report(60_000_000, report("a", 2, 1, false));
+    assert_eq!(outcome, ReportOutcome::Changed);
+}
