--- a/src/target/departures.rs
+++ b/src/target/departures.rs
@@ -4,7 +4,7 @@
 use crate::sorted::SortedMap;
 
 /// The maximum number of instances that are remembered; the oldest departure is forgotten first.
-const INSTANCES_MAX: usize = 32;
+const INSTANCES_MAX: usize = 256;
 
 /// How long after a departure of an unknown start all reports of the instance are ignored. Reports
 /// may be late by seconds, and a target runs on for some seconds after its departure.
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -148,3 +148,17 @@
     let outcome = watch.record_report(60_000_000, report("a", 2, 1, false));
     assert_eq!(outcome, ReportOutcome::Changed);
 }
+/// The number of instances that leave at one daemon in a row.
+const DEPARTURES: u32 = 100;
+
+#[test]
+fn many_departures_do_not_push_out_an_earlier_one() {
+    let mut watch = TargetWatch::default();
+    watch.record_departure(0, &"a".into(), Some(1));
+    for number in 0..DEPARTURES {
+        let instance = format!("other-{number}");
+        watch.record_departure(0, &instance.as_str().into(), Some(1));
+    }
+    let outcome = watch.record_report(0, report("a", 1, 10, false));
+    assert_eq!(outcome, ReportOutcome::Stale);
+}
