Ignore reports that cannot be ordered after the current start, unless they say that it leaves

What callers would see: requests at a target that had acknowledged its drain.

Cause: identities were compared with a part missing. A report without a start time, or a probe that was under way while the drain was reported, counted as another start of the target and replaced the one that drains. And a drain that was overtaken by a later-numbered report was acknowledged but ignored.

Change: a drain is recorded as a departure too, so no later report of that start counts. relate() names how a report's start stands to the current one; a report without a start time never replaces a start in use that has one; whether a target leaves does not depend on the sequence.

--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -53,6 +53,55 @@
     received_us: u64,
 }
 
+impl CurrentStart {
+    fn new(now_us: u64, report: TargetReport) -> Self {
+        Self {
+            report,
+            received_us: now_us,
+        }
+    }
+
+    /// Records another report of this start. One that cannot be ordered after the last report
+    /// counts only if it says that the target is leaving.
+    fn update(&mut self, now_us: u64, mut report: TargetReport) -> ReportOutcome {
+        let last = &self.report;
+        let is_newer = match (last.started_at_ms, report.started_at_ms) {
+            (Some(_), None) => false,
+            (None, Some(_)) => true,
+            _ => report.sequence > last.sequence,
+        };
+        if !is_newer {
+            return self.set_leaving_if(report.is_leaving);
+        }
+        report.is_leaving |= last.is_leaving;
+        let is_unchanged = last.started_at_ms == report.started_at_ms
+            && last.is_leaving == report.is_leaving
+            && last.slots == report.slots
+            && last.service == report.service;
+        *self = Self::new(now_us, report);
+        if is_unchanged {
+            ReportOutcome::Unchanged
+        } else {
+            ReportOutcome::Changed
+        }
+    }
+
+    fn set_leaving_if(&mut self, is_leaving: bool) -> ReportOutcome {
+        if !is_leaving || self.report.is_leaving {
+            return ReportOutcome::Stale;
+        }
+        self.report.is_leaving = true;
+        ReportOutcome::Changed
+    }
+}
+
+/// How the start that sent a report relates to the current start.
+enum Relation {
+    Earlier,
+    Same,
+    Later,
+}
+
 /// Discards outdated reports and remembers which starts of the target announced that they are
 /// leaving.
 #[derive(Default)]
@@ -63,39 +112,26 @@
 
 impl TargetWatch {
     /// Records a report.
-    pub fn record_report(&mut self, now_us: u64, mut report: TargetReport) -> ReportOutcome {
+    pub fn record_report(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
         let (instance, started_at_ms) = (&report.instance, report.started_at_ms);
         if self.departures.cover(now_us, instance, started_at_ms) {
             return ReportOutcome::Stale;
         }
+        if report.is_leaving {
+            let started_at_ms = started_at_ms.or(self.current_start_of(instance));
+            self.departures.record(now_us, instance, started_at_ms);
+        }
         let Some(current) = &mut self.current else {
-            self.current = Some(CurrentStart {
-                report,
-                received_us: now_us,
-            });
+            self.current = Some(CurrentStart::new(now_us, report));
             return ReportOutcome::Changed;
         };
-        let last = &current.report;
-        let is_same_start =
-            last.instance == report.instance && last.started_at_ms == report.started_at_ms;
-        if is_same_start {
-            if report.sequence <= last.sequence {
-                return ReportOutcome::Stale;
+        match relate(&current.report, &report) {
+            Relation::Earlier => ReportOutcome::Stale,
+            Relation::Same => current.update(now_us, report),
+            Relation::Later => {
+                *current = CurrentStart::new(now_us, report);
+                ReportOutcome::Changed
             }
-            report.is_leaving |= last.is_leaving;
-        } else if is_older(report.started_at_ms, last.started_at_ms) {
-            return ReportOutcome::Stale;
-        }
-        let is_unchanged = is_same_start
-            && last.is_leaving == report.is_leaving
-            && last.slots == report.slots
-            && last.service == report.service;
-        current.report = report;
-        current.received_us = now_us;
-        if is_unchanged {
-            ReportOutcome::Unchanged
-        } else {
-            ReportOutcome::Changed
         }
     }
 
@@ -109,16 +145,15 @@
         instance: &InstanceId,
         started_at_ms: Option<u64>,
     ) -> bool {
+        let started_at_ms = started_at_ms.or(self.current_start_of(instance));
+        self.departures.record(now_us, instance, started_at_ms);
         let current = self
             .current
             .as_mut()
             .filter(|current| current.report.instance == *instance);
         let Some(current) = current else {
-            self.departures.record(now_us, instance, started_at_ms);
             return false;
         };
-        let started_at_ms = started_at_ms.or(current.report.started_at_ms);
-        self.departures.record(now_us, instance, started_at_ms);
         if is_older(started_at_ms, current.report.started_at_ms) {
             return false;
         }
@@ -143,6 +178,29 @@
         }
         is_silent
     }
+
+    /// Returns the start time of the current start if it is one of the instance and the time is
+    /// known.
+    fn current_start_of(&self, instance: &InstanceId) -> Option<u64> {
+        let report = self.report().filter(|report| report.instance == *instance);
+        report?.started_at_ms
+    }
+}
+
+/// Returns how the start that sent a report relates to the current one.
+///
+/// Of two instances whose start times are not both known, a report without a start time cannot
+/// replace a start in use that has one: it may be late.
+fn relate(current: &TargetReport, report: &TargetReport) -> Relation {
+    let is_same_instance = current.instance == report.instance;
+    match (current.started_at_ms, report.started_at_ms) {
+        (Some(current_ms), Some(report_ms)) if report_ms < current_ms => Relation::Earlier,
+        (Some(current_ms), Some(report_ms)) if report_ms > current_ms => Relation::Later,
+        (None, Some(_)) if is_same_instance && current.is_leaving => Relation::Later,
+        _ if is_same_instance => Relation::Same,
+        (Some(_), None) if !current.is_leaving => Relation::Earlier,
+        _ => Relation::Later,
+    }
 }
 
 /// Returns whether both start times are reported and the first is earlier.
