Keep a target that is leaving when it stops reporting

What callers would see: requests at a target that drains longer than its reports may be missing.

Cause: after a silence the watch forgot the start, and with it that the start was draining; a report that was late on its way then made it ready.

Change: silence removes only a target that is not leaving. A leaving one may run on without reports, and what is recorded of it applies until a newer start reports.

Tests: a_leaving_target_that_stops_reporting_still_counts_as_leaving failed before.

--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -167,12 +167,12 @@
     }
 
     /// Removes the current start if its latest report is older than `silence_us`; returns whether
-    /// it was removed.
+    /// it was removed. A start that is leaving stays, as it may run on without reports.
     pub fn remove_if_silent(&mut self, now_us: u64, silence_us: u64) -> bool {
-        let is_silent = self
-            .current
-            .as_ref()
-            .is_some_and(|current| now_us.saturating_sub(current.received_us) > silence_us);
+        let is_silent = self.current.as_ref().is_some_and(|current| {
+            let silent_us = now_us.saturating_sub(current.received_us);
+            !current.report.is_leaving && silent_us > silence_us
+        });
         if is_silent {
             self.current = None;
         }
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -65,6 +65,16 @@
     assert!(!watch.report().unwrap().is_leaving);
 }
 
+/// A target that left may serve longer than it reports; the daemon must not forget that it left.
+#[test]
+fn a_leaving_target_that_stops_reporting_still_counts_as_leaving() {
+    let mut watch = TargetWatch::default();
+    watch.record_report(0, report("a", 1, 1, false));
+    watch.record_departure(0, &"a".into(), None);
+    assert!(!watch.remove_if_silent(SILENCE_US + 1, SILENCE_US));
+    assert!(watch.report().unwrap().is_leaving);
+}
+
 #[test]
 fn a_target_that_stops_reporting_is_removed() {
     let mut watch = TargetWatch::default();
@@ -134,6 +144,10 @@
         vec![Step::Departure("a", Some(1))],
         unversioned("a", 0),
     ),
+    late_report_after_a_drain_and_silence => (
+        vec![Step::Report(report("a", 1, 4, false)), Step::Report(report("a", 1, 6, true)), Step::Silence],
+        report("a", 1, 5, false),
+    ),
     later_report_after_a_drain => (vec![Step::Report(report("a", 1, 1, true))], report("a", 1, 2, false)),
     report_without_start_time_after_a_drain_with_one => (
         vec![Step::Report(unversioned("a", 0)), Step::Report(report("a", 1, 6, true))],
