Refuse a queued call at a target that left while the guard stood still

What callers would see: a request at a target seconds after it said that it leaves, from a daemon that was paused in between.

Cause: Guard::send checked the deadline, not whether the target leaves. The queue is refused by a timer 1 s after the notice, and after a pause an answer that was waiting at the socket can be handled before the timer: it frees a slot, and the next call in the queue was sent. The timer also did nothing if the target had counted as silent in between.

Change: the guard records since when its target is leaving; send() and the timer refuse by that time. A short queue is still served for a second, as docs/design/leaving.md says.

Tests: queued_call_is_sent_to_a_target_that_left_while_the_guard_stood_still failed before (one call sent 3.5 s after the notice); a second test keeps the second of grace.

--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -24,7 +24,7 @@
 use crate::sorted::SortedMap;
 use crate::target::Announcement;
 use crate::verdict::{Refusal, RefusalReason, Verdict};
-use drain::{PlannedStop, REFUSE_QUEUED_AFTER_US};
+use drain::PlannedStop;
 
 /// The name of the kernel service that runs calls on the target beside the daemon.
 pub const NAME: &str = "guard";
@@ -62,6 +62,8 @@
     inbound: SortedMap<InboundKey, CallKey>,
     running: SortedMap<RequestId, CallKey>,
     planned_stop: PlannedStop,
+    /// Since when the target accepts no new work, as in [`Guard::is_leaving`].
+    leaving_since_us: Option<u64>,
     release_timer_us: Option<u64>,
 }
 
@@ -130,6 +132,7 @@
             inbound: SortedMap::default(),
             running: SortedMap::default(),
             planned_stop: PlannedStop::default(),
+            leaving_since_us: None,
             release_timer_us: None,
         }
     }
@@ -277,14 +280,12 @@
     fn handle_notice(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(announcement) => {
-                let was_leaving = self.is_leaving();
                 self.target = Some(announcement);
-                if !was_leaving && self.is_leaving() {
-                    context.set_timer(REFUSE_QUEUED_AFTER_US, REFUSE_QUEUED_TIMER);
-                }
+                self.update_leaving(context);
             }
             Notice::TargetSilent => {
                 self.target = None;
+                self.update_leaving(context);
                 context.log(StateChange::new(
                     "guard",
                     "the target stopped announcing itself",
@@ -295,7 +296,7 @@
                 let linger_us = u64::from(self.settings.stop_linger_ms) * 1_000;
                 self.planned_stop.start(context.now_us() + linger_us);
                 context.set_timer(linger_us, STOP_CHECK_TIMER);
-                context.set_timer(REFUSE_QUEUED_AFTER_US, REFUSE_QUEUED_TIMER);
+                self.update_leaving(context);
             }
             _ => {}
         }
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -10,7 +10,7 @@
 use crate::pressure::{self, Pressures};
 use crate::request::{Header, HttpRequest, PeerCall, RunKey};
 use crate::run_once::{self, RunOnce};
-use crate::verdict::RefusalReason;
+use crate::verdict::{Refusal, RefusalReason};
 
 impl Guard {
     pub(super) fn admit(&mut self, context: &mut Context<'_>, key: CallKey) {
@@ -53,19 +53,19 @@
     /// Sends a request to the target; the only place that moves a request from queued to sent.
     ///
     /// Once a request was sent, its verdict may be `NotRun` only if the target's outcome proves
-    /// that it did not run. If its deadline has passed, the request is refused instead. If its
-    /// ticket became void, only its slot is released; the run-once service decides on it.
+    /// that it did not run. If its deadline has passed, or the target has been leaving for too long,
+    /// the request is refused instead. If its ticket became void, only its slot is released; the
+    /// run-once service decides on it.
     pub(super) fn send(&mut self, context: &mut Context<'_>, key: CallKey) {
         let now_us = context.now_us();
-        let Some(guard_call) = self.calls.get_mut(&key) else {
-            return;
-        };
-        if guard_call.deadline_us <= now_us {
-            let refusal = self.refusal(RefusalReason::Deadline, false);
+        if let Some(refusal) = self.find_late_refusal(now_us, key) {
             self.release(context, key, CallOutcome::Cancelled);
             self.refuse(context, key, refusal);
             return;
         }
+        let Some(guard_call) = self.calls.get(&key) else {
+            return;
+        };
         let timeout_us = guard_call.deadline_us - now_us;
         let request = guard_call.peer_call.request;
         let is_idempotent = guard_call.peer_call.is_idempotent;
@@ -106,6 +106,17 @@
         });
     }
 
+    /// Returns the refusal of an admitted request that it is too late to send.
+    fn find_late_refusal(&self, now_us: u64, key: CallKey) -> Option<Refusal> {
+        if self.calls.get(&key)?.deadline_us <= now_us {
+            return Some(self.refusal(RefusalReason::Deadline, false));
+        }
+        if self.refuses_queued(now_us) {
+            return Some(self.refusal(RefusalReason::Leaving, true));
+        }
+        None
+    }
+
     /// Releases the slot of a request at the target and starts queued requests.
     pub(super) fn release(&mut self, context: &mut Context<'_>, key: CallKey, ended: CallOutcome) {
         let now_us = context.now_us();
--- a/src/calls/guard/drain.rs
+++ b/src/calls/guard/drain.rs
@@ -1,6 +1,6 @@
 //! Graceful shutdown of a guard: it accepts no new work and drains what is in flight.
 
-use super::{Guard, STOP_CHECK_TIMER, Stage};
+use super::{Guard, REFUSE_QUEUED_TIMER, STOP_CHECK_TIMER, Stage};
 use crate::admission::{self, Admission, CancelOutcome};
 use crate::calls::entry::{self, Entry};
 use crate::kernel::{Context, Effect, StateChange};
@@ -11,7 +11,7 @@
 const STOP_CHECK_PERIOD_US: u64 = 50_000;
 
 /// How long a leaving target still starts queued calls; after that they are refused.
-pub(super) const REFUSE_QUEUED_AFTER_US: u64 = 1_000_000;
+const REFUSE_QUEUED_AFTER_US: u64 = 1_000_000;
 
 /// How long after the linger time a stop still waits for unused claims to be released in the
 /// platform's table.
@@ -35,9 +35,27 @@
 }
 
 impl Guard {
+    /// Records whether the target accepts new work, after a notice that may have changed it.
+    pub(super) fn update_leaving(&mut self, context: &mut Context<'_>) {
+        if !self.is_leaving() {
+            self.leaving_since_us = None;
+            return;
+        }
+        if self.leaving_since_us.is_none() {
+            self.leaving_since_us = Some(context.now_us());
+            context.set_timer(REFUSE_QUEUED_AFTER_US, REFUSE_QUEUED_TIMER);
+        }
+    }
+
+    /// Returns whether the target has been leaving for so long that it gets no queued calls either.
+    pub(super) fn refuses_queued(&self, now_us: u64) -> bool {
+        self.leaving_since_us
+            .is_some_and(|since_us| now_us >= since_us + REFUSE_QUEUED_AFTER_US)
+    }
+
     /// Refuses the calls that are still queued, so that entry daemons send them to other targets.
     pub(super) fn refuse_queued(&mut self, context: &mut Context<'_>) {
-        if !self.is_leaving() {
+        if !self.refuses_queued(context.now_us()) {
             return;
         }
         let mut queued = Vec::new();
