Let the guard's permission to send a request expire after 500 ms

What callers would see: a request at a target seconds after it said that it leaves, though the guard admitted it before.

Cause, by reading: after the guard's decision the request still waits for its task and for a connection; whether it may be sent was not asked again. Not reproduced with a process that is stopped by a signal while it waits for a connection: there the timer of the connection (300 ms) fires before the socket is polled, and the call is refused. With a longer wait, a suspended VM or another order after the pause nothing held it back.

With the second for queued calls the last request leaves 1.5 s after the notice. TargetClient, of the product's own daemon, checks it before it asks its pool.

--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -12,6 +12,10 @@
 use crate::run_once::{self, RunOnce};
 use crate::verdict::{Refusal, RefusalReason};
 
+/// How long a request that was admitted may take until it is sent. A target gets its last queued
+/// calls 1 s after it said that it leaves, and nothing 2 s after it.
+const SEND_WITHIN_US: u64 = 500_000;
+
 impl Guard {
     pub(super) fn admit(&mut self, context: &mut Context<'_>, key: CallKey) {
         if let Some(refusal) = self.find_refusal(key) {
@@ -103,6 +107,7 @@
             http,
             is_idempotent,
             timeout_us,
+            send_within_us: SEND_WITHIN_US,
         });
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -14,6 +14,7 @@
 pub mod peer;
 pub mod platform;
 pub mod pool;
+pub mod send_permit;
 pub mod server;
 pub mod sidecar;
 pub mod target;
@@ -41,6 +42,7 @@
 };
 use crate::target::Announcement;
 use decisions::DecisionLog;
+use send_permit::SendPermit;
 
 /// A monotonic clock.
 pub trait Clock: Send + Sync {
@@ -109,6 +111,8 @@
     pub is_idempotent: bool,
     /// How long to wait for the whole answer.
     pub timeout: Duration,
+    /// The permission to send it, to be checked before the first byte.
+    pub permit: SendPermit,
 }
 
 /// The adapters through which a node reaches everything outside its kernel.
@@ -350,11 +354,13 @@
                 http,
                 is_idempotent,
                 timeout_us,
+                send_within_us,
             } => {
                 let request = TargetRequest {
                     http,
                     is_idempotent,
                     timeout: Duration::from_micros(timeout_us),
+                    permit: SendPermit::new(Duration::from_micros(send_within_us)),
                 };
                 self.send_to_target(call, request);
             }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -20,6 +20,7 @@
 use tokio::task::AbortHandle;
 
 use super::lock;
+use super::send_permit::SendPermit;
 use crate::derives::value;
 
 /// How long to wait until a connection is ready for reuse after its response was read.
@@ -79,6 +80,9 @@
     pub is_idempotent: bool,
     /// Returns, from its headers, whether a response belongs to the request.
     pub matches_request: &'a (dyn Fn(&HeaderMap) -> bool + Sync),
+    /// The permission to send the request, which may expire while it waits for a connection; none
+    /// if the request may be sent at any time.
+    pub permit: Option<SendPermit>,
 }
 
 /// Connections to one address.
@@ -136,6 +140,9 @@
                 Some(connection) => connection,
                 None => self.connect().await?,
             };
+            if exchange.permit.is_some_and(|permit| !permit.is_valid()) {
+                return Err(ExchangeError::NotSent);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) if (exchange.matches_request)(response.headers()) => {
                     return self.read_response(connection, response).await;
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -107,6 +107,9 @@
 impl TargetTransport for TargetClient {
     fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetOutcome> {
         Box::pin(async move {
+            if !request.permit.is_valid() {
+                return TargetOutcome::NotSent;
+            }
             let exchange = self.exchange(request.http);
             let exchange = tokio::time::timeout(request.timeout, exchange).await;
             exchange.unwrap_or(TargetOutcome::Lost)
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -96,6 +96,8 @@
         is_idempotent: bool,
         /// How long the target may take to answer.
         timeout_us: u64,
+        /// The time after which the request must not be sent any more.
+        send_within_us: u64,
     },
     /// Cancel a request at the target.
     CancelTargetRequest {
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -65,6 +65,7 @@
             http,
             is_idempotent: false,
             timeout_us: TARGET_TIMEOUT_US,
+            send_within_us: u64::MAX,
         });
     }
 
