Move the tracking of the target out of the sidecar, and the backoff out of the membership

No behaviour changes. sidecar.rs had two jobs: the daemon's lifecycle, and the reports, departures, probes and silence of the target beside it; the second is TargetTracker now. The backoff is needed for a second row of the table next.

--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -3,6 +3,10 @@
 //!
 //! [`super::daemon`] is the daemon with the built-in ones.
 
+mod target_tracker;
+
+pub use target_tracker::TargetTracker;
+
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -15,8 +19,8 @@
 use super::caller::{CallCodec, CallerLimits, CallerServer};
 use super::daemon::{StartError, bind};
 use super::peer::{PeerLimits, PeerLinks, PeerServer};
-use super::{Clock, MonotonicClock, Node, NodeAdapters, TargetTransport, lock};
-use crate::ids::{InstanceId, MemberId, ServiceName};
+use super::{MonotonicClock, Node, NodeAdapters, TargetTransport, lock};
+use crate::ids::{MemberId, ServiceName};
 use crate::kernel::{Input, Kernel, Notice};
 use crate::membership::{Member, MemberState};
 use crate::metrics::MetricSink;
@@ -24,10 +28,7 @@
 use crate::routes::{self, RouteSource, Routes};
 use crate::settings::Settings;
 use crate::table::{ObjectStore, TableStore};
-use crate::target::{Announcement, ReportOutcome, TargetReport, TargetWatch};
-
-/// How often the sidecar checks that the target still reports.
-const TARGET_CHECK_PERIOD: Duration = Duration::from_millis(500);
+use target_tracker::TargetSettings;
 
 /// How long to wait for a connection to a daemon of the same region before a call goes to another
 /// target.
@@ -43,19 +44,6 @@
 /// already on their way; there is no pause if the callers' timeout was reached.
 const LAST_CALLS_DELAY: Duration = Duration::from_millis(150);
 
-/// The slots that a target is assumed to have if it responds to a probe and has not reported yet.
-const SLOTS_BEFORE_REPORT: u32 = 16;
-
-/// The time between two probes of a target that has not reported yet.
-const PROBE_PERIOD: Duration = Duration::from_millis(100);
-
-/// The maximum number of attempts to probe a target that has not reported yet; an attempt before
-/// the route table gives its health path sends no probe.
-const PROBES_MAX: u32 = 10;
-
-/// The number of connections that the target is assumed to accept per slot.
-const CONNECTIONS_PER_SLOT: u32 = 4;
-
 /// The settings of a sidecar.
 #[derive(Clone, Debug)]
 pub struct SidecarSettings {
@@ -97,9 +85,7 @@
 pub struct Sidecar {
     settings: SidecarSettings,
     node: Arc<Node>,
-    target: Arc<dyn TargetTransport>,
-    target_watch: Mutex<TargetWatch>,
-    clock: MonotonicClock,
+    target: Arc<TargetTracker>,
     caller_server: Arc<CallerServer>,
     is_stop_requested: AtomicBool,
     stop_begun: Notify,
@@ -144,12 +130,15 @@
             bodies_bytes_max: settings.bodies_bytes_max,
         };
         let caller_server = CallerServer::new(Arc::clone(&node), limits, codec, None);
+        let target_settings = TargetSettings {
+            service: settings.service.clone(),
+            address: settings.target_address,
+            report_timeout_ms: settings.target_report_timeout_ms,
+        };
         let sidecar = Arc::new(Self {
             settings,
+            target: TargetTracker::new(target_settings, Arc::clone(&node), target),
             node,
-            target,
-            target_watch: Mutex::default(),
-            clock: MonotonicClock::default(),
             caller_server,
             is_stop_requested: AtomicBool::new(false),
             stop_begun: Notify::new(),
@@ -168,8 +157,8 @@
         let tasks = vec![
             tokio::spawn(Arc::clone(&self.caller_server).serve(caller_listener)).abort_handle(),
             tokio::spawn(serve_peers).abort_handle(),
-            tokio::spawn(Arc::clone(self).watch_target()).abort_handle(),
-            tokio::spawn(Arc::clone(self).probe_target()).abort_handle(),
+            tokio::spawn(Arc::clone(&self.target).watch_for_silence()).abort_handle(),
+            tokio::spawn(Arc::clone(&self.target).probe()).abort_handle(),
         ];
         *lock(&self.tasks) = tasks;
     }
@@ -192,115 +181,9 @@
         })
     }
 
-    /// Handles a report of the target and returns what it changed.
-    pub fn handle_target_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
-        let now_us = self.clock.now_us();
-        let outcome = lock(&self.target_watch).record_report(now_us, report.clone());
-        log::info!(
-            target: "dragonflylug",
-            subject = "target",
-            instance = report.instance.as_str(),
-            started_at_ms = report.started_at_ms,
-            sequence = report.sequence,
-            is_leaving = report.is_leaving,
-            outcome = outcome.name();
-            "report of the target"
-        );
-        if outcome == ReportOutcome::Changed {
-            self.announce_target();
-        }
-        outcome
-    }
-
-    /// Handles the notice that an instance of the target is leaving; new work for it stops
-    /// immediately.
-    pub fn handle_target_leaving(
-        self: &Arc<Self>,
-        instance: &InstanceId,
-        started_at_ms: Option<u64>,
-    ) {
-        let now_us = self.clock.now_us();
-        let is_current = lock(&self.target_watch).record_departure(now_us, instance, started_at_ms);
-        log::info!(
-            target: "dragonflylug",
-            subject = "target",
-            instance = instance.as_str(),
-            started_at_ms,
-            is_current;
-            "notice that the target leaves"
-        );
-        if is_current {
-            self.announce_target();
-        }
-    }
-
-    fn announce_target(self: &Arc<Self>) {
-        let Some(report) = lock(&self.target_watch).report().cloned() else {
-            return;
-        };
-        let announcement = Announcement {
-            service: report.service,
-            address: self.settings.target_address,
-            slots: report.slots,
-            connections: report.slots.saturating_mul(CONNECTIONS_PER_SLOT),
-            is_draining: report.is_leaving,
-            instance: Some(report.instance),
-        };
-        self.target.handle_announcement(&announcement);
-        self.node
-            .submit(Input::Notice(Notice::TargetAnnounced(announcement)));
-    }
-
-    /// Probes for a target that is already running, so that a daemon that restarts beside it does
-    /// not have to wait for its next report.
-    async fn probe_target(self: Arc<Self>) {
-        for _ in 0..PROBES_MAX {
-            tokio::time::sleep(PROBE_PERIOD).await;
-            if lock(&self.target_watch).report().is_some() {
-                return;
-            }
-            let Some(path) = self.health_path() else {
-                continue;
-            };
-            let Some(instance) = self.target.probe(&path).await else {
-                continue;
-            };
-            log::info!(
-                target: "dragonflylug",
-                subject = "target",
-                instance = instance.as_str();
-                "probe of the target succeeded"
-            );
-            self.handle_target_report(TargetReport {
-                instance,
-                started_at_ms: None,
-                sequence: 0,
-                service: self.settings.service.clone(),
-                slots: SLOTS_BEFORE_REPORT,
-                is_leaving: false,
-            });
-            return;
-        }
-    }
-
-    fn health_path(&self) -> Option<String> {
-        self.node.inspect(|kernel| {
-            let table = kernel.find::<Routes>(routes::NAME)?.table()?;
-            let service_terms = table.service(&self.settings.service)?;
-            Some(service_terms.health_path.clone())
-        })
-    }
-
-    async fn watch_target(self: Arc<Self>) {
-        let silence_us = u64::from(self.settings.target_report_timeout_ms) * 1_000;
-        loop {
-            tokio::time::sleep(TARGET_CHECK_PERIOD).await;
-            let now_us = self.clock.now_us();
-            if lock(&self.target_watch).remove_if_silent(now_us, silence_us) {
-                log::info!(target: "dragonflylug", subject = "target"; "the target counts as lost: no report in time");
-                self.node.submit(Input::Notice(Notice::TargetSilent));
-            }
-        }
+    /// Returns what is known of the target beside the sidecar.
+    pub fn target(&self) -> &Arc<TargetTracker> {
+        &self.target
     }
 
     /// Begins a graceful shutdown: callers are first sent to other daemons, while the target is
--- /dev/null
+++ b/src/host/sidecar/target_tracker.rs
@@ -0,0 +1,170 @@
+//! Tracks the target beside a sidecar: its reports, its departure, probes and silence.
+
+use std::net::SocketAddr;
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use crate::host::{Clock, MonotonicClock, Node, TargetTransport, lock};
+use crate::ids::{InstanceId, ServiceName};
+use crate::kernel::{Input, Notice};
+use crate::routes::{self, Routes};
+use crate::target::{Announcement, ReportOutcome, TargetReport, TargetWatch};
+
+/// How often the sidecar checks that the target still reports.
+const TARGET_CHECK_PERIOD: Duration = Duration::from_millis(500);
+
+/// The slots that a target is assumed to have if it responds to a probe and has not reported yet.
+const SLOTS_BEFORE_REPORT: u32 = 16;
+
+/// The time between two probes of a target that has not reported yet.
+const PROBE_PERIOD: Duration = Duration::from_millis(100);
+
+/// The maximum number of attempts to probe a target that has not reported yet; an attempt before
+/// the route table gives its health path sends no probe.
+const PROBES_MAX: u32 = 10;
+
+/// The number of connections that the target is assumed to accept per slot.
+const CONNECTIONS_PER_SLOT: u32 = 4;
+
+/// The target beside a sidecar, as its settings describe it.
+#[derive(Clone, Debug)]
+pub(super) struct TargetSettings {
+    /// The service of the target.
+    pub(super) service: ServiceName,
+    /// The address of the target.
+    pub(super) address: SocketAddr,
+    /// How long the target may send no report before it counts as lost.
+    pub(super) report_timeout_ms: u32,
+}
+
+/// Tracks the target beside a sidecar and announces each change of it to the node.
+pub struct TargetTracker {
+    settings: TargetSettings,
+    node: Arc<Node>,
+    transport: Arc<dyn TargetTransport>,
+    watch: Mutex<TargetWatch>,
+    clock: MonotonicClock,
+}
+
+impl TargetTracker {
+    pub(super) fn new(
+        settings: TargetSettings,
+        node: Arc<Node>,
+        transport: Arc<dyn TargetTransport>,
+    ) -> Arc<Self> {
+        Arc::new(Self {
+            settings,
+            node,
+            transport,
+            watch: Mutex::default(),
+            clock: MonotonicClock::default(),
+        })
+    }
+
+    /// Handles a report of the target and returns what it changed.
+    pub fn record_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
+        let now_us = self.clock.now_us();
+        let outcome = lock(&self.watch).record_report(now_us, report.clone());
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = report.instance.as_str(),
+            started_at_ms = report.started_at_ms,
+            sequence = report.sequence,
+            is_leaving = report.is_leaving,
+            outcome = outcome.name();
+            "report of the target"
+        );
+        if outcome == ReportOutcome::Changed {
+            self.announce();
+        }
+        outcome
+    }
+
+    /// Handles the notice that an instance of the target is leaving; new work for it stops
+    /// immediately.
+    pub fn record_departure(self: &Arc<Self>, instance: &InstanceId, started_at_ms: Option<u64>) {
+        let now_us = self.clock.now_us();
+        let is_current = lock(&self.watch).record_departure(now_us, instance, started_at_ms);
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = instance.as_str(),
+            started_at_ms,
+            is_current;
+            "notice that the target leaves"
+        );
+        if is_current {
+            self.announce();
+        }
+    }
+
+    fn announce(self: &Arc<Self>) {
+        let Some(report) = lock(&self.watch).report().cloned() else {
+            return;
+        };
+        let announcement = Announcement {
+            service: report.service,
+            address: self.settings.address,
+            slots: report.slots,
+            connections: report.slots.saturating_mul(CONNECTIONS_PER_SLOT),
+            is_draining: report.is_leaving,
+            instance: Some(report.instance),
+        };
+        self.transport.handle_announcement(&announcement);
+        self.node
+            .submit(Input::Notice(Notice::TargetAnnounced(announcement)));
+    }
+
+    /// Probes for a target that is already running, so that a daemon that restarts beside it does
+    /// not have to wait for its next report.
+    pub(super) async fn probe(self: Arc<Self>) {
+        for _ in 0..PROBES_MAX {
+            tokio::time::sleep(PROBE_PERIOD).await;
+            if lock(&self.watch).report().is_some() {
+                return;
+            }
+            let Some(path) = self.health_path() else {
+                continue;
+            };
+            let Some(instance) = self.transport.probe(&path).await else {
+                continue;
+            };
+            log::info!(
+                target: "dragonflylug",
+                subject = "target",
+                instance = instance.as_str();
+                "probe of the target succeeded"
+            );
+            self.record_report(TargetReport {
+                instance,
+                started_at_ms: None,
+                sequence: 0,
+                service: self.settings.service.clone(),
+                slots: SLOTS_BEFORE_REPORT,
+                is_leaving: false,
+            });
+            return;
+        }
+    }
+
+    fn health_path(&self) -> Option<String> {
+        self.node.inspect(|kernel| {
+            let table = kernel.find::<Routes>(routes::NAME)?.table()?;
+            let service_terms = table.service(&self.settings.service)?;
+            Some(service_terms.health_path.clone())
+        })
+    }
+
+    pub(super) async fn watch_for_silence(self: Arc<Self>) {
+        let silence_us = u64::from(self.settings.report_timeout_ms) * 1_000;
+        loop {
+            tokio::time::sleep(TARGET_CHECK_PERIOD).await;
+            let now_us = self.clock.now_us();
+            if lock(&self.watch).remove_if_silent(now_us, silence_us) {
+                log::info!(target: "dragonflylug", subject = "target"; "the target counts as lost: no report in time");
+                self.node.submit(Input::Notice(Notice::TargetSilent));
+            }
+        }
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -3,6 +3,7 @@
 //! All decisions are made by state machines that have no clock, thread, socket or lock: see
 //! [`kernel`]. The daemon hosts these state machines; another program can host them too.
 
+mod backoff;
 mod derives;
 
 pub mod admission;
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -11,10 +11,10 @@
 use rand::Rng;
 use rand::seq::index;
 
-use super::contacts::Backoff;
 use super::message::{Gossip, Message, Update};
 use super::probe::Prober;
 use super::{ByteBudget, Member, MemberState, MembershipSettings, NAME, Roster, UpdateQueue};
+use crate::backoff::Backoff;
 use crate::ids::{InboundKey, MemberId, OutboundKey};
 use crate::kernel::{Context, Event, Notice, Service};
 use crate::metrics::Counter;
