Store departures of the target, so that a restarted sidecar knows them

What callers saw, or would see: requests at a target that had said it was leaving, after its sidecar was killed and started again.

Cause: which starts left was kept in the memory of the process only. The acknowledgement binds the VM, not the process.

Change: each new departure is written to the row departures/ADDRESS of the target, conditional on the version that was read, so that a former process's late write can't replace it; a conflict merges. The acknowledgement waits for the write, at most 500 ms, and comes in any case. A process reads the row at its start and repeats the read with backoff until it succeeds. A planned stop deletes the row if nothing listens at the target's address any more. Cost: one read for each start of a sidecar, one or two writes for each target that leaves, one delete.

--- a/src/host.rs
+++ b/src/host.rs
@@ -98,6 +98,12 @@
         Box::pin(async { None })
     }
 
+    /// Returns whether the target's process has certainly ended, because nothing listens at its
+    /// address.
+    fn has_ended(&self) -> BoxFuture<'_, bool> {
+        Box::pin(async { false })
+    }
+
     /// Handles the latest announcement of the target.
     fn handle_announcement(&self, _announcement: &Announcement) {}
 }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -4,6 +4,7 @@
 //! cleanly. On an error the pool reports whether nothing of the request was sent or it may have
 //! arrived.
 
+use std::io::ErrorKind;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
@@ -163,6 +164,13 @@
         }
     }
 
+    /// Returns whether a new connection is refused, so that nothing listens at the address.
+    pub async fn is_refused(&self) -> bool {
+        let connecting = TcpStream::connect(self.to);
+        let connected = tokio::time::timeout(self.settings.connect_timeout, connecting).await;
+        matches!(connected, Ok(Err(error)) if error.kind() == ErrorKind::ConnectionRefused)
+    }
+
     /// Closes all idle connections.
     pub fn clear(&self) {
         lock(&self.state).idle.clear();
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -3,6 +3,7 @@
 //!
 //! [`super::daemon`] is the daemon with the built-in ones.
 
+mod stored_departures;
 mod target_tracker;
 
 pub use target_tracker::TargetTracker;
@@ -159,6 +160,7 @@
             tokio::spawn(serve_peers).abort_handle(),
             tokio::spawn(Arc::clone(&self.target).watch_for_silence()).abort_handle(),
             tokio::spawn(Arc::clone(&self.target).probe()).abort_handle(),
+            tokio::spawn(Arc::clone(&self.target).keep_departures()).abort_handle(),
         ];
         *lock(&self.tasks) = tasks;
     }
@@ -220,6 +222,7 @@
             self.node.stopped().await;
             self.abort_tasks();
             self.caller_server.drain().await;
+            self.target.delete_departures_if_ended().await;
         };
         if tokio::time::timeout(stop_timeout, finish).await.is_err() {
             log::warn!(target: "dragonflylug", "planned stop: time limit reached before all requests finished and all connections closed");
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -4,6 +4,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
+use tokio::sync::{Notify, watch};
+
 use crate::host::{Clock, MonotonicClock, Node, TargetTransport, lock};
 use crate::ids::{InstanceId, ServiceName};
 use crate::kernel::{Input, Notice};
@@ -39,11 +41,17 @@
 
 /// Tracks the target beside a sidecar and announces each change of it to the node.
 pub struct TargetTracker {
-    settings: TargetSettings,
-    node: Arc<Node>,
-    transport: Arc<dyn TargetTransport>,
-    watch: Mutex<TargetWatch>,
-    clock: MonotonicClock,
+    pub(super) settings: TargetSettings,
+    pub(super) node: Arc<Node>,
+    pub(super) transport: Arc<dyn TargetTransport>,
+    pub(super) watch: Mutex<TargetWatch>,
+    pub(super) clock: MonotonicClock,
+    /// The version of the row with the stored departures, if there is one.
+    pub(super) row_version: Mutex<Option<u64>>,
+    /// The revision of the departures that is stored.
+    pub(super) stored_revision: watch::Sender<u64>,
+    /// Notifies the task that stores the departures.
+    pub(super) departure_recorded: Notify,
 }
 
 impl TargetTracker {
@@ -58,32 +66,32 @@
             transport,
             watch: Mutex::default(),
             clock: MonotonicClock::default(),
+            row_version: Mutex::default(),
+            stored_revision: watch::Sender::new(0),
+            departure_recorded: Notify::new(),
         })
     }
 
-    /// Handles a report of the target and returns what it changed.
-    pub fn record_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
-        let now_us = self.clock.now_us();
-        let outcome = lock(&self.watch).record_report(now_us, report.clone());
-        log::info!(
-            target: "dragonflylug",
-            subject = "target",
-            instance = report.instance.as_str(),
-            started_at_ms = report.started_at_ms,
-            sequence = report.sequence,
-            is_leaving = report.is_leaving,
-            outcome = outcome.name();
-            "report of the target"
-        );
-        if outcome == ReportOutcome::Changed {
-            self.announce();
+    /// Records a report of the target and returns what it changed. If it says that the target is
+    /// leaving, new work stops immediately, and the future waits for a bounded time until that is
+    /// stored.
+    pub async fn record_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
+        let is_leaving = report.is_leaving;
+        let outcome = self.apply_report(report);
+        if is_leaving {
+            self.departure_recorded.notify_one();
+            self.wait_until_stored().await;
         }
         outcome
     }
 
-    /// Handles the notice that an instance of the target is leaving; new work for it stops
-    /// immediately.
-    pub fn record_departure(self: &Arc<Self>, instance: &InstanceId, started_at_ms: Option<u64>) {
+    /// Records the notice that an instance of the target is leaving. New work for it stops
+    /// immediately, and the future waits for a bounded time until that is stored.
+    pub async fn record_departure(
+        self: &Arc<Self>,
+        instance: &InstanceId,
+        started_at_ms: Option<u64>,
+    ) {
         let now_us = self.clock.now_us();
         let is_current = lock(&self.watch).record_departure(now_us, instance, started_at_ms);
         log::info!(
@@ -97,9 +105,30 @@
         if is_current {
             self.announce();
         }
+        self.departure_recorded.notify_one();
+        self.wait_until_stored().await;
+    }
+
+    fn apply_report(self: &Arc<Self>, report: TargetReport) -> ReportOutcome {
+        let now_us = self.clock.now_us();
+        let outcome = lock(&self.watch).record_report(now_us, report.clone());
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = report.instance.as_str(),
+            started_at_ms = report.started_at_ms,
+            sequence = report.sequence,
+            is_leaving = report.is_leaving,
+            outcome = outcome.name();
+            "report of the target"
+        );
+        if outcome == ReportOutcome::Changed {
+            self.announce();
+        }
+        outcome
     }
 
-    fn announce(self: &Arc<Self>) {
+    pub(super) fn announce(self: &Arc<Self>) {
         let Some(report) = lock(&self.watch).report().cloned() else {
             return;
         };
@@ -136,7 +165,7 @@
                 instance = instance.as_str();
                 "probe of the target succeeded"
             );
-            self.record_report(TargetReport {
+            self.apply_report(TargetReport {
                 instance,
                 started_at_ms: None,
                 sequence: 0,
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,9 +1,10 @@
 //! The target beside a daemon, as described by its announcements.
 
+pub mod departure_row;
 mod departures;
 mod watch;
 
-pub use departures::Departures;
+pub use departures::{Departure, Departures};
 pub use watch::{ReportOutcome, TargetReport, TargetWatch};
 
 use macro_rules_attribute::apply;
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -3,7 +3,7 @@
 //! A start is one execution of the target's process, identified by its instance identifier and its
 //! start time. Two starts may have the same instance identifier.
 
-use super::Departures;
+use super::{Departure, Departures};
 use crate::ids::{InstanceId, ServiceName};
 
 /// The state that a target reports about itself to a daemon that is configured by a route table;
@@ -161,6 +161,22 @@
         true
     }
 
+    /// Records the departures that a former process of the daemon stored; returns whether one applies
+    /// to the current start.
+    pub fn record_stored_departures(&mut self, now_us: u64, stored: &[Departure]) -> bool {
+        let mut is_current = false;
+        for departure in stored {
+            let (instance, started_at_ms) = (&departure.instance, departure.started_at_ms);
+            is_current |= self.record_departure(now_us, instance, started_at_ms);
+        }
+        is_current
+    }
+
+    /// Returns the starts that are known to leave.
+    pub fn departures(&self) -> &Departures {
+        &self.departures
+    }
+
     /// Returns the latest report of the current start.
     pub fn report(&self) -> Option<&TargetReport> {
         self.current.as_ref().map(|current| &current.report)
