Use a target only once it is certain that its start did not leave before the daemon started

What callers would see: requests at a target that left, between the start of a sidecar and its first read of the stored departures; as long as the store is away, that is not a few milliseconds.

Cause: one report was enough to make a target ready, and reports may be late by seconds.

Change: until the stored departures are read, a start also needs a successful probe, which is new by nature, or a further report 500 ms or more after its first one. That a target is leaving counts at once. With the store at hand the read ends before the first probe, so a start takes as long as before.

Tests: a_first_report_does_not_make_the_target_ready_before_the_stored_departures_are_known; before, the watch had no such state and the report counted. Three cases keep the ways in which a target becomes ready.

--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -8,6 +8,7 @@
 use crate::backoff::Backoff;
 use crate::host::{Clock, lock};
 use crate::table::{PlatformError, Row, TableRequest, TableResponse};
+use crate::target::Departure;
 use crate::target::departure_row::{self, ROW_INSTANCES_MAX};
 
 /// How long to wait for a response of the table.
@@ -108,28 +109,19 @@
     /// Records the departures in the row as it is in the table now.
     fn merge_row(self: &Arc<Self>, row: Option<&Row>) {
         *lock(&self.row_version) = row.map(|row| row.version);
-        let Some(row) = row else {
-            return;
-        };
-        let stored = match departure_row::decode(row) {
-            Ok(stored) => stored,
-            Err(error) => {
-                log::warn!(target: "dragonflylug", "ignored the row {}: {error}", row.key);
-                return;
-            }
-        };
+        let stored = row.map(decode_row).unwrap_or_default();
         log::info!(target: "dragonflylug", subject = "target", departures = stored.len(); "read the stored departures");
         let is_all_stored = !self.has_unstored_departures();
         let now_us = self.clock.now_us();
-        let (is_current, revision) = {
+        let (is_changed, revision) = {
             let mut watch = lock(&self.watch);
-            let is_current = watch.record_stored_departures(now_us, &stored);
-            (is_current, watch.departures().revision())
+            let is_changed = watch.record_stored_departures(now_us, &stored);
+            (is_changed, watch.departures().revision())
         };
         if is_all_stored {
             self.stored_revision.send_replace(revision);
         }
-        if is_current {
+        if is_changed {
             self.announce();
         }
     }
@@ -141,6 +133,17 @@
     }
 }
 
+/// Returns the departures in a row; none, with a log line, if they cannot be decoded.
+fn decode_row(row: &Row) -> Vec<Departure> {
+    match departure_row::decode(row) {
+        Ok(departures) => departures,
+        Err(error) => {
+            log::warn!(target: "dragonflylug", "ignored the row {}: {error}", row.key);
+            Vec::new()
+        }
+    }
+}
+
 async fn pause(backoff: &mut Backoff) {
     let pause_us = backoff.next_us(RETRY_PAUSE_MAX_MS, &mut rand::rng());
     tokio::time::sleep(Duration::from_micros(pause_us)).await;
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -64,7 +64,7 @@
             settings,
             node,
             transport,
-            watch: Mutex::default(),
+            watch: Mutex::new(TargetWatch::awaiting_stored_departures()),
             clock: MonotonicClock::default(),
             row_version: Mutex::default(),
             stored_revision: watch::Sender::new(0),
@@ -129,7 +129,7 @@
     }
 
     pub(super) fn announce(self: &Arc<Self>) {
-        let Some(report) = lock(&self.watch).report().cloned() else {
+        let Some(report) = lock(&self.watch).confirmed_report().cloned() else {
             return;
         };
         let announcement = Announcement {
@@ -150,7 +150,7 @@
     pub(super) async fn probe(self: Arc<Self>) {
         for _ in 0..PROBES_MAX {
             tokio::time::sleep(PROBE_PERIOD).await;
-            if lock(&self.watch).report().is_some() {
+            if lock(&self.watch).confirmed_report().is_some() {
                 return;
             }
             let Some(path) = self.health_path() else {
@@ -159,24 +159,33 @@
             let Some(instance) = self.transport.probe(&path).await else {
                 continue;
             };
-            log::info!(
-                target: "dragonflylug",
-                subject = "target",
-                instance = instance.as_str();
-                "probe of the target succeeded"
-            );
-            self.apply_report(TargetReport {
-                instance,
-                started_at_ms: None,
-                sequence: 0,
-                service: self.settings.service.clone(),
-                slots: SLOTS_BEFORE_REPORT,
-                is_leaving: false,
-            });
+            self.apply_probe(instance);
             return;
         }
     }
 
+    fn apply_probe(self: &Arc<Self>, instance: InstanceId) {
+        let report = TargetReport {
+            instance: instance.clone(),
+            started_at_ms: None,
+            sequence: 0,
+            service: self.settings.service.clone(),
+            slots: SLOTS_BEFORE_REPORT,
+            is_leaving: false,
+        };
+        let outcome = lock(&self.watch).record_probe(self.clock.now_us(), report);
+        log::info!(
+            target: "dragonflylug",
+            subject = "target",
+            instance = instance.as_str(),
+            outcome = outcome.name();
+            "probe of the target succeeded"
+        );
+        if outcome == ReportOutcome::Changed {
+            self.announce();
+        }
+    }
+
     fn health_path(&self) -> Option<String> {
         self.node.inspect(|kernel| {
             let table = kernel.find::<Routes>(routes::NAME)?.table()?;
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -6,6 +6,10 @@
 use super::{Departure, Departures};
 use crate::ids::{InstanceId, ServiceName};
 
+/// How far apart two reports of a start must arrive so that the later one confirms that the start
+/// goes on reporting; reports that were held up together arrive together.
+const REPORTS_APART_US: u64 = 500_000;
+
 /// The state that a target reports about itself to a daemon that is configured by a route table;
 /// the daemon creates the [`Announcement`](super::Announcement) of the target from it.
 #[derive(Clone, Debug, PartialEq)]
@@ -34,6 +38,9 @@
     Unchanged,
     /// The report changes the recorded state or comes from another start.
     Changed,
+    /// The report is recorded, but the target does not count as ready yet: the stored departures
+    /// are not known, and one of them may be that of this start.
+    Unconfirmed,
 }
 
 impl ReportOutcome {
@@ -43,6 +50,7 @@
             Self::Stale => "stale",
             Self::Unchanged => "unchanged",
             Self::Changed => "changed",
+            Self::Unconfirmed => "unconfirmed",
         }
     }
 }
@@ -50,17 +58,35 @@
 /// The current start of the target, with its latest report.
 struct CurrentStart {
     report: TargetReport,
+    first_received_us: u64,
     received_us: u64,
+    /// Whether the start is certainly none that left before this daemon started.
+    is_confirmed: bool,
 }
 
 impl CurrentStart {
-    fn new(now_us: u64, report: TargetReport) -> Self {
+    fn new(now_us: u64, report: TargetReport, is_confirmed: bool) -> Self {
         Self {
             report,
+            first_received_us: now_us,
             received_us: now_us,
+            is_confirmed,
         }
     }
 
+    /// Returns the outcome of the first report of this start.
+    fn first_outcome(&self) -> ReportOutcome {
+        match self.is_usable() {
+            true => ReportOutcome::Changed,
+            false => ReportOutcome::Unconfirmed,
+        }
+    }
+
+    /// Returns whether the report may be announced; that the target is leaving always may.
+    fn is_usable(&self) -> bool {
+        self.is_confirmed || self.report.is_leaving
+    }
+
     /// Records another report of this start. One that cannot be ordered after the last report
     /// counts only if it says that the target is leaving.
     fn update(&mut self, now_us: u64, mut report: TargetReport) -> ReportOutcome {
@@ -78,11 +104,14 @@
             && last.is_leaving == report.is_leaving
             && last.slots == report.slots
             && last.service == report.service;
-        *self = Self::new(now_us, report);
-        if is_unchanged {
-            ReportOutcome::Unchanged
-        } else {
-            ReportOutcome::Changed
+        let was_usable = self.is_usable();
+        self.report = report;
+        self.received_us = now_us;
+        self.is_confirmed |= now_us - self.first_received_us >= REPORTS_APART_US;
+        match (was_usable, self.is_usable()) {
+            (_, false) => ReportOutcome::Unconfirmed,
+            (true, true) if is_unchanged => ReportOutcome::Unchanged,
+            _ => ReportOutcome::Changed,
         }
     }
 
@@ -108,9 +137,20 @@
 pub struct TargetWatch {
     current: Option<CurrentStart>,
     departures: Departures,
+    awaits_stored_departures: bool,
 }
 
 impl TargetWatch {
+    /// Creates the watch of a daemon that has not read the stored departures yet. Until
+    /// [`TargetWatch::record_stored_departures`], one report alone does not make the target ready:
+    /// it may have been sent before its start left.
+    pub fn awaiting_stored_departures() -> Self {
+        Self {
+            awaits_stored_departures: true,
+            ..Self::default()
+        }
+    }
+
     /// Records a report.
     pub fn record_report(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
         let (instance, started_at_ms) = (&report.instance, report.started_at_ms);
@@ -121,20 +161,38 @@
             let started_at_ms = started_at_ms.or(self.current_start_of(instance));
             self.departures.record(now_us, instance, started_at_ms);
         }
-        let Some(current) = &mut self.current else {
-            self.current = Some(CurrentStart::new(now_us, report));
-            return ReportOutcome::Changed;
+        let relation = match &self.current {
+            Some(current) => relate(&current.report, &report),
+            None => Relation::Later,
         };
-        match relate(&current.report, &report) {
-            Relation::Earlier => ReportOutcome::Stale,
-            Relation::Same => current.update(now_us, report),
-            Relation::Later => {
-                *current = CurrentStart::new(now_us, report);
-                ReportOutcome::Changed
+        match (relation, &mut self.current) {
+            (Relation::Earlier, _) => ReportOutcome::Stale,
+            (Relation::Same, Some(current)) => current.update(now_us, report),
+            _ => {
+                let is_confirmed = !self.awaits_stored_departures;
+                let current = CurrentStart::new(now_us, report, is_confirmed);
+                let outcome = current.first_outcome();
+                self.current = Some(current);
+                outcome
             }
         }
     }
 
+    /// Records that the target responded to a probe, as a report without start time and sequence.
+    /// The response is new, so it also confirms the current start of that instance.
+    pub fn record_probe(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
+        let instance = report.instance.clone();
+        let outcome = self.record_report(now_us, report);
+        let Some(current) = &mut self.current else {
+            return outcome;
+        };
+        if current.report.instance != instance || current.is_usable() {
+            return outcome;
+        }
+        current.is_confirmed = true;
+        ReportOutcome::Changed
+    }
+
     /// Records that a start of the target announced that it is leaving, so that its later reports
     /// are ignored; returns whether this applies to the current start.
     ///
@@ -161,15 +219,20 @@
         true
     }
 
-    /// Records the departures that a former process of the daemon stored; returns whether one applies
-    /// to the current start.
+    /// Records the departures that a former process of the daemon stored; returns whether the
+    /// current start is leaving, or ready, because of that.
     pub fn record_stored_departures(&mut self, now_us: u64, stored: &[Departure]) -> bool {
-        let mut is_current = false;
+        let mut is_changed = false;
         for departure in stored {
             let (instance, started_at_ms) = (&departure.instance, departure.started_at_ms);
-            is_current |= self.record_departure(now_us, instance, started_at_ms);
+            is_changed |= self.record_departure(now_us, instance, started_at_ms);
+        }
+        self.awaits_stored_departures = false;
+        if let Some(current) = &mut self.current {
+            is_changed |= !current.is_usable();
+            current.is_confirmed = true;
         }
-        is_current
+        is_changed
     }
 
     /// Returns the starts that are known to leave.
@@ -195,6 +258,13 @@
         is_silent
     }
 
+    /// Returns the latest report of the current start, unless that start may have left before this
+    /// daemon started.
+    pub fn confirmed_report(&self) -> Option<&TargetReport> {
+        let current = self.current.as_ref().filter(|current| current.is_usable());
+        current.map(|current| &current.report)
+    }
+
     /// Returns the start time of the current start if it is one of the instance and the time is
     /// known.
     fn current_start_of(&self, instance: &InstanceId) -> Option<u64> {
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -5,7 +5,7 @@
 #[path = "support/cases.rs"]
 mod cases;
 
-use dragonflylug::target::{ReportOutcome, TargetReport, TargetWatch};
+use dragonflylug::target::{Departure, ReportOutcome, TargetReport, TargetWatch};
 
 /// Creates a report of a process of the target, with its start time and sequence number.
 fn report(instance: &str, started_at_ms: u64, sequence: u64, is_leaving: bool) -> TargetReport {
@@ -95,6 +95,9 @@
     Silence,
 }
 
+/// The time between two reports.
+const REPORT_PERIOD_US: u64 = 1_500_000;
+
 /// How long a target may send no report.
 const SILENCE_US: u64 = 4_500_000;
 
@@ -197,6 +200,63 @@
     assert_eq!(watch.report().unwrap().started_at_ms, Some(1));
 }
 
+/// A daemon that has not read the stored departures yet may get a report that was sent before one.
+#[test]
+fn a_first_report_does_not_make_the_target_ready_before_the_stored_departures_are_known() {
+    let mut watch = TargetWatch::awaiting_stored_departures();
+    let outcome = watch.record_report(0, report("a", 1, 10, false));
+    assert_eq!(outcome, ReportOutcome::Unconfirmed);
+    assert_eq!(watch.confirmed_report(), None);
+    let stored = Departure {
+        instance: "a".into(),
+        started_at_ms: Some(1),
+    };
+    watch.record_stored_departures(0, &[stored]);
+    assert!(watch.confirmed_report().unwrap().is_leaving);
+}
+
+/// How a target that a daemon has one report of becomes ready.
+#[derive(Clone, Copy)]
+enum Confirmation {
+    StoredDepartures,
+    NextReports,
+    Probe,
+}
+
+fn check_becomes_ready(confirmation: Confirmation) {
+    let mut watch = TargetWatch::awaiting_stored_departures();
+    watch.record_report(0, report("a", 1, 1, false));
+    match confirmation {
+        Confirmation::StoredDepartures => {
+            assert!(watch.record_stored_departures(0, &[]));
+        }
+        Confirmation::NextReports => {
+            let outcome = watch.record_report(0, report("a", 1, 2, false));
+            assert_eq!(outcome, ReportOutcome::Unconfirmed, "may be late as well");
+            let outcome = watch.record_report(REPORT_PERIOD_US, report("a", 1, 3, false));
+            assert_eq!(outcome, ReportOutcome::Changed);
+        }
+        Confirmation::Probe => {
+            let outcome = watch.record_probe(0, unversioned("a", 0));
+            assert_eq!(outcome, ReportOutcome::Changed);
+        }
+    }
+    assert!(!watch.confirmed_report().unwrap().is_leaving);
+}
+
+cases! { check_becomes_ready:
+    a_report_counts_once_the_stored_departures_are_known => Confirmation::StoredDepartures,
+    the_next_reports_count_without_the_stored_departures => Confirmation::NextReports,
+    a_probe_counts_without_the_stored_departures => Confirmation::Probe,
+}
+
+#[test]
+fn a_departure_counts_at_once_without_the_stored_departures() {
+    let mut watch = TargetWatch::awaiting_stored_departures();
+    watch.record_report(0, report("a", 1, 1, true));
+    assert!(watch.confirmed_report().unwrap().is_leaving);
+}
+
 /// The number of instances that leave at one daemon in a row.
 const DEPARTURES: u32 = 100;
 
