Confirm a start by probes, or by ten seconds of reports, while the stored departures are unknown

The probe had no time limit and was tried ten times, so that a store outage longer than that left only the reports.

Change: reports alone confirm a start only after 10 s. Probes go on once a second as long as the stored departures are unknown and no target is confirmed, and each waits a second at most. With the store at hand nothing changes.

Test: the_next_reports_count_without_the_stored_departures now asks for 10 s.

--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -18,12 +18,17 @@
 /// The slots that a target is assumed to have if it responds to a probe and has not reported yet.
 const SLOTS_BEFORE_REPORT: u32 = 16;
 
-/// The time between two probes of a target that has not reported yet.
-const PROBE_PERIOD: Duration = Duration::from_millis(100);
+/// The time between the first probes of a target that has not reported yet.
+const FIRST_PROBE_PERIOD: Duration = Duration::from_millis(100);
 
-/// The maximum number of attempts to probe a target that has not reported yet; an attempt before
-/// the route table gives its health path sends no probe.
-const PROBES_MAX: u32 = 10;
+/// The number of first probes; an attempt before the route table gives the health path sends none.
+const FIRST_PROBES: u32 = 10;
+
+/// The time between two later probes.
+const PROBE_PERIOD: Duration = Duration::from_secs(1);
+
+/// How long to wait for the response to a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The number of connections that the target is assumed to accept per slot.
 const CONNECTIONS_PER_SLOT: u32 = 4;
@@ -146,24 +151,40 @@
     }
 
     /// Probes for a target that is already running, so that a daemon that restarts beside it does
-    /// not have to wait for its next report.
+    /// not have to wait for its next reports.
     pub(super) async fn probe(self: Arc<Self>) {
-        for _ in 0..PROBES_MAX {
-            tokio::time::sleep(PROBE_PERIOD).await;
-            if lock(&self.watch).confirmed_report().is_some() {
+        let mut attempts = 0;
+        loop {
+            let is_first = attempts < FIRST_PROBES;
+            let period = if is_first {
+                FIRST_PROBE_PERIOD
+            } else {
+                PROBE_PERIOD
+            };
+            tokio::time::sleep(period).await;
+            if !self.needs_probe(is_first) {
                 return;
             }
-            let Some(path) = self.health_path() else {
-                continue;
-            };
-            let Some(instance) = self.transport.probe(&path).await else {
-                continue;
-            };
-            self.apply_probe(instance);
-            return;
+            attempts += 1;
+            if let Some(instance) = self.send_probe().await {
+                self.apply_probe(instance);
+            }
         }
     }
 
+    /// Returns whether the target must still be probed: until a report made it ready, or after the
+    /// first attempts only as long as the stored departures are unknown.
+    fn needs_probe(&self, is_first: bool) -> bool {
+        let watch = lock(&self.watch);
+        watch.confirmed_report().is_none() && (is_first || watch.awaits_stored_departures())
+    }
+
+    async fn send_probe(&self) -> Option<InstanceId> {
+        let path = self.health_path()?;
+        let probe = self.transport.probe(&path);
+        tokio::time::timeout(PROBE_TIMEOUT, probe).await.ok()?
+    }
+
     fn apply_probe(self: &Arc<Self>, instance: InstanceId) {
         let report = TargetReport {
             instance: instance.clone(),
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -6,9 +6,9 @@
 use super::{Departure, Departures};
 use crate::ids::{InstanceId, ServiceName};
 
-/// How far apart two reports of a start must arrive so that the later one confirms that the start
-/// goes on reporting; reports that were held up together arrive together.
-const REPORTS_APART_US: u64 = 500_000;
+/// How long a start must go on reporting until it is certain that it did not leave before its first
+/// report arrived; reports may be late by seconds.
+const CONFIRMING_REPORTS_US: u64 = 10_000_000;
 
 /// The state that a target reports about itself to a daemon that is configured by a route table;
 /// the daemon creates the [`Announcement`](super::Announcement) of the target from it.
@@ -107,7 +107,7 @@
         let was_usable = self.is_usable();
         self.report = report;
         self.received_us = now_us;
-        self.is_confirmed |= now_us - self.first_received_us >= REPORTS_APART_US;
+        self.is_confirmed |= now_us - self.first_received_us >= CONFIRMING_REPORTS_US;
         match (was_usable, self.is_usable()) {
             (_, false) => ReportOutcome::Unconfirmed,
             (true, true) if is_unchanged => ReportOutcome::Unchanged,
@@ -235,6 +235,11 @@
         is_changed
     }
 
+    /// Returns whether the stored departures are still unknown.
+    pub fn awaits_stored_departures(&self) -> bool {
+        self.awaits_stored_departures
+    }
+
     /// Returns the starts that are known to leave.
     pub fn departures(&self) -> &Departures {
         &self.departures
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -95,8 +95,8 @@
     Silence,
 }
 
-/// The time between two reports.
-const REPORT_PERIOD_US: u64 = 1_500_000;
+/// Longer than reports are late.
+const LATE_REPORTS_US: u64 = 10_000_000;
 
 /// How long a target may send no report.
 const SILENCE_US: u64 = 4_500_000;
@@ -233,7 +233,7 @@
         Confirmation::NextReports => {
             let outcome = watch.record_report(0, report("a", 1, 2, false));
             assert_eq!(outcome, ReportOutcome::Unconfirmed, "may be late as well");
-            let outcome = watch.record_report(REPORT_PERIOD_US, report("a", 1, 3, false));
+            let outcome = watch.record_report(LATE_REPORTS_US, report("a", 1, 3, false));
             assert_eq!(outcome, ReportOutcome::Changed);
         }
         Confirmation::Probe => {
