Ask the target itself before its first report after a start counts

What callers would see: requests at a target that left.

Cause: stored departures were taken as proof that a start had not left, but a former process may not have been able to store one. The notice must be acknowledged at once in any case, so the store alone can't give that proof.

Change: for 10 s after the start of the sidecar a report is recorded as unconfirmed, and a probe, which is sent at once and then each second, confirms it. Reports that arrive later count alone. This takes the place of the rule that waited for the stored departures, which now only veto.

The cases of target_watch for the former rule are replaced by ones for this rule: a report alone, and two at once, don't count; a probe confirms its instance only; a stored departure is stronger than a probe; reports count alone after 10 s; a drain counts at once.

--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -113,15 +113,15 @@
         log::info!(target: "dragonflylug", subject = "target", departures = stored.len(); "read the stored departures");
         let is_all_stored = !self.has_unstored_departures();
         let now_us = self.clock.now_us();
-        let (is_changed, revision) = {
+        let (is_current, revision) = {
             let mut watch = lock(&self.watch);
-            let is_changed = watch.record_stored_departures(now_us, &stored);
-            (is_changed, watch.departures().revision())
+            let is_current = watch.record_stored_departures(now_us, &stored);
+            (is_current, watch.departures().revision())
         };
         if is_all_stored {
             self.stored_revision.send_replace(revision);
         }
-        if is_changed {
+        if is_current {
             self.announce();
         }
     }
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -51,6 +51,8 @@
     pub(super) transport: Arc<dyn TargetTransport>,
     pub(super) watch: Mutex<TargetWatch>,
     pub(super) clock: MonotonicClock,
+    /// Notifies the task that probes the target.
+    report_unconfirmed: Notify,
     /// The version of the row with the stored departures, if there is one.
     pub(super) row_version: Mutex<Option<u64>>,
     /// The revision of the departures that is stored.
@@ -65,12 +67,14 @@
         node: Arc<Node>,
         transport: Arc<dyn TargetTransport>,
     ) -> Arc<Self> {
+        let clock = MonotonicClock::default();
         Arc::new(Self {
             settings,
             node,
             transport,
-            watch: Mutex::new(TargetWatch::awaiting_stored_departures()),
-            clock: MonotonicClock::default(),
+            watch: Mutex::new(TargetWatch::starting_at(clock.now_us())),
+            clock,
+            report_unconfirmed: Notify::new(),
             row_version: Mutex::default(),
             stored_revision: watch::Sender::new(0),
             departure_recorded: Notify::new(),
@@ -127,8 +131,10 @@
             outcome = outcome.name();
             "report of the target"
         );
-        if outcome == ReportOutcome::Changed {
-            self.announce();
+        match outcome {
+            ReportOutcome::Changed => self.announce(),
+            ReportOutcome::Unconfirmed => self.report_unconfirmed.notify_one(),
+            ReportOutcome::Stale | ReportOutcome::Unchanged => {}
         }
         outcome
     }
@@ -151,38 +157,32 @@
     }
 
     /// Probes for a target that is already running, so that a daemon that restarts beside it does
-    /// not have to wait for its next reports.
+    /// not have to wait for its next report, and probes each target whose report may be late.
     pub(super) async fn probe(self: Arc<Self>) {
-        let mut attempts = 0;
-        loop {
-            let is_first = attempts < FIRST_PROBES;
-            let period = if is_first {
-                FIRST_PROBE_PERIOD
-            } else {
-                PROBE_PERIOD
-            };
-            tokio::time::sleep(period).await;
-            if !self.needs_probe(is_first) {
-                return;
+        for _ in 0..FIRST_PROBES {
+            tokio::time::sleep(FIRST_PROBE_PERIOD).await;
+            if lock(&self.watch).confirmed_report().is_some() {
+                break;
             }
-            attempts += 1;
-            if let Some(instance) = self.send_probe().await {
-                self.apply_probe(instance);
+            self.send_probe().await;
+        }
+        loop {
+            self.report_unconfirmed.notified().await;
+            while lock(&self.watch).is_unconfirmed() {
+                self.send_probe().await;
+                tokio::time::sleep(PROBE_PERIOD).await;
             }
         }
     }
 
-    /// Returns whether the target must still be probed: until a report made it ready, or after the
-    /// first attempts only as long as the stored departures are unknown.
-    fn needs_probe(&self, is_first: bool) -> bool {
-        let watch = lock(&self.watch);
-        watch.confirmed_report().is_none() && (is_first || watch.awaits_stored_departures())
-    }
-
-    async fn send_probe(&self) -> Option<InstanceId> {
-        let path = self.health_path()?;
+    async fn send_probe(self: &Arc<Self>) {
+        let Some(path) = self.health_path() else {
+            return;
+        };
         let probe = self.transport.probe(&path);
-        tokio::time::timeout(PROBE_TIMEOUT, probe).await.ok()?
+        if let Ok(Some(instance)) = tokio::time::timeout(PROBE_TIMEOUT, probe).await {
+            self.apply_probe(instance);
+        }
     }
 
     fn apply_probe(self: &Arc<Self>, instance: InstanceId) {
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -6,9 +6,9 @@
 use super::{Departure, Departures};
 use crate::ids::{InstanceId, ServiceName};
 
-/// How long a start must go on reporting until it is certain that it did not leave before its first
-/// report arrived; reports may be late by seconds.
-const CONFIRMING_REPORTS_US: u64 = 10_000_000;
+/// How long after the start of the daemon a report may still be one that was sent before its start
+/// left, and that the daemon's former process was told of; reports may be late by seconds.
+const LATE_REPORTS_US: u64 = 10_000_000;
 
 /// The state that a target reports about itself to a daemon that is configured by a route table;
 /// the daemon creates the [`Announcement`](super::Announcement) of the target from it.
@@ -38,8 +38,8 @@
     Unchanged,
     /// The report changes the recorded state or comes from another start.
     Changed,
-    /// The report is recorded, but the target does not count as ready yet: the stored departures
-    /// are not known, and one of them may be that of this start.
+    /// The report is recorded, but the target does not count as ready yet: its start may have left
+    /// before the daemon started.
     Unconfirmed,
 }
 
@@ -58,7 +58,6 @@
 /// The current start of the target, with its latest report.
 struct CurrentStart {
     report: TargetReport,
-    first_received_us: u64,
     received_us: u64,
     /// Whether the start is certainly none that left before this daemon started.
     is_confirmed: bool,
@@ -68,20 +67,11 @@
     fn new(now_us: u64, report: TargetReport, is_confirmed: bool) -> Self {
         Self {
             report,
-            first_received_us: now_us,
             received_us: now_us,
             is_confirmed,
         }
     }
 
-    /// Returns the outcome of the first report of this start.
-    fn first_outcome(&self) -> ReportOutcome {
-        match self.is_usable() {
-            true => ReportOutcome::Changed,
-            false => ReportOutcome::Unconfirmed,
-        }
-    }
-
     /// Returns whether the report may be announced; that the target is leaving always may.
     fn is_usable(&self) -> bool {
         self.is_confirmed || self.report.is_leaving
@@ -89,7 +79,12 @@
 
     /// Records another report of this start. One that cannot be ordered after the last report
     /// counts only if it says that the target is leaving.
-    fn update(&mut self, now_us: u64, mut report: TargetReport) -> ReportOutcome {
+    fn update(
+        &mut self,
+        now_us: u64,
+        mut report: TargetReport,
+        is_confirmed: bool,
+    ) -> ReportOutcome {
         let last = &self.report;
         let is_newer = match (last.started_at_ms, report.started_at_ms) {
             (Some(_), None) => false,
@@ -107,7 +102,7 @@
         let was_usable = self.is_usable();
         self.report = report;
         self.received_us = now_us;
-        self.is_confirmed |= now_us - self.first_received_us >= CONFIRMING_REPORTS_US;
+        self.is_confirmed |= is_confirmed;
         match (was_usable, self.is_usable()) {
             (_, false) => ReportOutcome::Unconfirmed,
             (true, true) if is_unchanged => ReportOutcome::Unchanged,
@@ -137,16 +132,17 @@
 pub struct TargetWatch {
     current: Option<CurrentStart>,
     departures: Departures,
-    awaits_stored_departures: bool,
+    /// Until when one report alone does not make the target ready.
+    late_reports_until_us: u64,
 }
 
 impl TargetWatch {
-    /// Creates the watch of a daemon that has not read the stored departures yet. Until
-    /// [`TargetWatch::record_stored_departures`], one report alone does not make the target ready:
-    /// it may have been sent before its start left.
-    pub fn awaiting_stored_departures() -> Self {
+    /// Creates the watch of a daemon that starts now. The daemon may have had a former process, and
+    /// a report may have been sent before its start left and the former process was told of that.
+    /// For some seconds, a start therefore becomes ready only once the target responds to a probe.
+    pub fn starting_at(now_us: u64) -> Self {
         Self {
-            awaits_stored_departures: true,
+            late_reports_until_us: now_us + LATE_REPORTS_US,
             ..Self::default()
         }
     }
@@ -161,23 +157,27 @@
             let started_at_ms = started_at_ms.or(self.current_start_of(instance));
             self.departures.record(now_us, instance, started_at_ms);
         }
+        let is_confirmed = now_us >= self.late_reports_until_us;
         let relation = match &self.current {
             Some(current) => relate(&current.report, &report),
             None => Relation::Later,
         };
         match (relation, &mut self.current) {
             (Relation::Earlier, _) => ReportOutcome::Stale,
-            (Relation::Same, Some(current)) => current.update(now_us, report),
-            _ => {
-                let is_confirmed = !self.awaits_stored_departures;
-                let current = CurrentStart::new(now_us, report, is_confirmed);
-                let outcome = current.first_outcome();
-                self.current = Some(current);
-                outcome
-            }
+            (Relation::Same, Some(current)) => current.update(now_us, report, is_confirmed),
+            _ => self.set_current(CurrentStart::new(now_us, report, is_confirmed)),
         }
     }
 
+    fn set_current(&mut self, current: CurrentStart) -> ReportOutcome {
+        let outcome = match current.is_usable() {
+            true => ReportOutcome::Changed,
+            false => ReportOutcome::Unconfirmed,
+        };
+        self.current = Some(current);
+        outcome
+    }
+
     /// Records that the target responded to a probe, as a report without start time and sequence.
     /// The response is new, so it also confirms the current start of that instance.
     pub fn record_probe(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
@@ -219,25 +219,21 @@
         true
     }
 
-    /// Records the departures that a former process of the daemon stored; returns whether the
-    /// current start is leaving, or ready, because of that.
+    /// Records the departures that a former process of the daemon stored; returns whether one
+    /// applies to the current start.
     pub fn record_stored_departures(&mut self, now_us: u64, stored: &[Departure]) -> bool {
-        let mut is_changed = false;
+        let mut is_current = false;
         for departure in stored {
             let (instance, started_at_ms) = (&departure.instance, departure.started_at_ms);
-            is_changed |= self.record_departure(now_us, instance, started_at_ms);
-        }
-        self.awaits_stored_departures = false;
-        if let Some(current) = &mut self.current {
-            is_changed |= !current.is_usable();
-            current.is_confirmed = true;
+            is_current |= self.record_departure(now_us, instance, started_at_ms);
         }
-        is_changed
+        is_current
     }
 
-    /// Returns whether the stored departures are still unknown.
-    pub fn awaits_stored_departures(&self) -> bool {
-        self.awaits_stored_departures
+    /// Returns whether the current start may have left before the daemon started.
+    pub fn is_unconfirmed(&self) -> bool {
+        let current = self.current.as_ref();
+        current.is_some_and(|current| !current.is_usable())
     }
 
     /// Returns the starts that are known to leave.
@@ -263,7 +259,7 @@
         is_silent
     }
 
-    /// Returns the latest report of the current start, unless that start may have left before this
+    /// Returns the latest report of the current start, unless that start may have left before the
     /// daemon started.
     pub fn confirmed_report(&self) -> Option<&TargetReport> {
         let current = self.current.as_ref().filter(|current| current.is_usable());
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -200,60 +200,54 @@
     assert_eq!(watch.report().unwrap().started_at_ms, Some(1));
 }
 
-/// A daemon that has not read the stored departures yet may get a report that was sent before one.
+/// A daemon that has just started may get a report that was sent before its start left, and that
+/// its former process acknowledged.
 #[test]
-fn a_first_report_does_not_make_the_target_ready_before_the_stored_departures_are_known() {
-    let mut watch = TargetWatch::awaiting_stored_departures();
-    let outcome = watch.record_report(0, report("a", 1, 10, false));
-    assert_eq!(outcome, ReportOutcome::Unconfirmed);
+fn a_report_alone_does_not_make_the_target_ready_when_the_daemon_has_just_started() {
+    let mut watch = TargetWatch::starting_at(0);
+    for sequence in [9, 10] {
+        let outcome = watch.record_report(0, report("a", 1, sequence, false));
+        assert_eq!(outcome, ReportOutcome::Unconfirmed);
+    }
     assert_eq!(watch.confirmed_report(), None);
     let stored = Departure {
         instance: "a".into(),
         started_at_ms: Some(1),
     };
-    watch.record_stored_departures(0, &[stored]);
+    assert!(watch.record_stored_departures(0, &[stored]));
+    assert!(watch.confirmed_report().unwrap().is_leaving);
+    watch.record_probe(0, unversioned("a", 0));
     assert!(watch.confirmed_report().unwrap().is_leaving);
 }
 
-/// How a target that a daemon has one report of becomes ready.
-#[derive(Clone, Copy)]
-enum Confirmation {
-    StoredDepartures,
-    NextReports,
-    Probe,
-}
-
-fn check_becomes_ready(confirmation: Confirmation) {
-    let mut watch = TargetWatch::awaiting_stored_departures();
+#[test]
+fn a_probe_confirms_a_report_of_its_instance_only() {
+    let mut watch = TargetWatch::starting_at(0);
     watch.record_report(0, report("a", 1, 1, false));
-    match confirmation {
-        Confirmation::StoredDepartures => {
-            assert!(watch.record_stored_departures(0, &[]));
-        }
-        Confirmation::NextReports => {
-            let outcome = watch.record_report(0, report("a", 1, 2, false));
-            assert_eq!(outcome, ReportOutcome::Unconfirmed, "may be late as well");
-            let outcome = watch.record_report(LATE_REPORTS_US, report("a", 1, 3, false));
-            assert_eq!(outcome, ReportOutcome::Changed);
-        }
-        Confirmation::Probe => {
-            let outcome = watch.record_probe(0, unversioned("a", 0));
-            assert_eq!(outcome, ReportOutcome::Changed);
-        }
-    }
+    let outcome = watch.record_probe(0, unversioned("b", 0));
+    assert_eq!(outcome, ReportOutcome::Stale);
+    assert_eq!(watch.confirmed_report(), None);
+    let outcome = watch.record_probe(0, unversioned("a", 0));
+    assert_eq!(outcome, ReportOutcome::Changed);
     assert!(!watch.confirmed_report().unwrap().is_leaving);
 }
 
-cases! { check_becomes_ready:
-    a_report_counts_once_the_stored_departures_are_known => Confirmation::StoredDepartures,
-    the_next_reports_count_without_the_stored_departures => Confirmation::NextReports,
-    a_probe_counts_without_the_stored_departures => Confirmation::Probe,
+/// A target whose probes fail, though it is well, must be used in the end.
+#[test]
+fn a_report_counts_without_a_probe_once_late_reports_are_over() {
+    let mut watch = TargetWatch::starting_at(0);
+    watch.record_report(0, report("a", 1, 1, false));
+    let outcome = watch.record_report(LATE_REPORTS_US, report("a", 1, 2, false));
+    assert_eq!(outcome, ReportOutcome::Changed);
+    let outcome = watch.record_report(LATE_REPORTS_US, report("b", 2, 1, false));
+    assert_eq!(outcome, ReportOutcome::Changed);
 }
 
 #[test]
-fn a_departure_counts_at_once_without_the_stored_departures() {
-    let mut watch = TargetWatch::awaiting_stored_departures();
-    watch.record_report(0, report("a", 1, 1, true));
+fn a_departure_counts_at_once_when_the_daemon_has_just_started() {
+    let mut watch = TargetWatch::starting_at(0);
+    let outcome = watch.record_report(0, report("a", 1, 1, true));
+    assert_eq!(outcome, ReportOutcome::Changed);
     assert!(watch.confirmed_report().unwrap().is_leaving);
 }
 
