Ignore an announcement that a target is ready after it announced that it drains

What callers would see, at the product's own daemon: a target that drains gets new work again for up to one period of its announcements.

Cause: an announcement carries no number, and two connections of one target are read in any order, for instance after a pause of the daemon; the last one read counted. A silence also forgot that the target drained.

Change: once an instance announced that it drains, one that it is ready does not count. The stand-in of targets names its instance now. Without an instance in its announcements a target is treated as before: nothing tells a late one from a new one.

--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -10,11 +10,11 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::{TargetRequest, TargetTransport, http, lock};
+use super::{Clock, MonotonicClock, TargetRequest, TargetTransport, http, lock};
 use crate::kernel::TargetOutcome;
 use crate::request::{Answer, HttpRequest};
 use crate::table::BoxFuture;
-use crate::target::Announcement;
+use crate::target::{Announcement, Departures};
 
 /// How long an idle connection to the target is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -22,6 +22,13 @@
 /// How long a target may send no announcement before it counts as lost.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The latest announcement of the target, and the instances that drained.
+#[derive(Default)]
+struct Announcements {
+    latest: Option<AnnouncedTarget>,
+    departures: Departures,
+}
+
 /// The latest announcement of a target and when it arrived.
 struct AnnouncedTarget {
     announcement: Announcement,
@@ -31,7 +38,8 @@
 /// A client with pooled connections to the target that last announced itself.
 pub struct TargetClient {
     client: Client<HttpConnector, Full<Bytes>>,
-    target: Mutex<Option<AnnouncedTarget>>,
+    announcements: Mutex<Announcements>,
+    clock: MonotonicClock,
 }
 
 impl Default for TargetClient {
@@ -44,20 +52,27 @@
             .build(connector);
         Self {
             client,
-            target: Mutex::new(None),
+            announcements: Mutex::default(),
+            clock: MonotonicClock::default(),
         }
     }
 }
 
 impl TargetClient {
-    /// Records an announcement; returns whether it differs from the one before.
+    /// Records an announcement; returns whether it differs from the one before. An announcement that
+    /// an instance is ready is ignored after one that it drains.
     pub fn record_announcement(&self, announcement: Announcement) -> bool {
-        let mut target = lock(&self.target);
-        let is_unchanged = target
+        let now_us = self.clock.now_us();
+        let mut announcements = lock(&self.announcements);
+        if !announcements.departures.accept(now_us, &announcement) {
+            return false;
+        }
+        let is_unchanged = announcements
+            .latest
             .as_ref()
             .is_some_and(|current| current.announcement == announcement);
         let announced_at = Instant::now();
-        *target = Some(AnnouncedTarget {
+        announcements.latest = Some(AnnouncedTarget {
             announcement,
             announced_at,
         });
@@ -66,18 +81,23 @@
 
     /// Removes a target that has stopped announcing itself; returns whether it was removed.
     pub fn expire_target(&self) -> bool {
-        let mut target = lock(&self.target);
-        let is_expired = target
+        let mut announcements = lock(&self.announcements);
+        let is_expired = announcements
+            .latest
             .as_ref()
             .is_some_and(|current| current.announced_at.elapsed() > ANNOUNCEMENT_TIMEOUT);
         if is_expired {
-            *target = None;
+            announcements.latest = None;
         }
         is_expired
     }
 
     fn build_request(&self, http: HttpRequest) -> Option<Request<Full<Bytes>>> {
-        let address = lock(&self.target).as_ref()?.announcement.address;
+        let address = lock(&self.announcements)
+            .latest
+            .as_ref()?
+            .announcement
+            .address;
         let uri: Uri = format!("http://{address}{}", http.path).parse().ok()?;
         let mut builder = Request::builder().method(http.method.as_str()).uri(uri);
         for header in &http.headers {
--- a/src/target/departures.rs
+++ b/src/target/departures.rs
@@ -2,6 +2,7 @@
 
 use macro_rules_attribute::apply;
 
+use super::Announcement;
 use crate::derives::message;
 use crate::ids::InstanceId;
 use crate::sorted::SortedMap;
@@ -92,6 +93,19 @@
         }
     }
 
+    /// Returns whether an announcement counts, and records its instance if it drains. One that an
+    /// instance is ready does not count after it drained; without an instance every one counts.
+    pub fn accept(&mut self, now_us: u64, announcement: &Announcement) -> bool {
+        let Some(instance) = &announcement.instance else {
+            return true;
+        };
+        if announcement.is_draining {
+            self.record(now_us, instance, None);
+            return true;
+        }
+        !self.cover(now_us, instance, None)
+    }
+
     /// Returns a number that grows with each departure that was not recorded before.
     pub fn revision(&self) -> u64 {
         self.revision
--- a/standins/src/target/announce.rs
+++ b/standins/src/target/announce.rs
@@ -18,6 +18,7 @@
     address: SocketAddr,
     slots: u32,
     connections: u32,
+    instance: &'a str,
     is_draining: bool,
 }
 
@@ -38,6 +39,7 @@
         address,
         slots: state.config.slots,
         connections: state.config.connections,
+        instance: &state.instance,
         is_draining: state.is_draining(),
     };
     let Ok(body) = serde_json::to_vec(&announcement) else {
--- a/standins/src/target/state.rs
+++ b/standins/src/target/state.rs
@@ -14,6 +14,8 @@
 /// The state that the connections of a target stand-in share.
 pub(super) struct State {
     pub(super) config: TargetConfig,
+    /// The identifier of this start.
+    pub(super) instance: String,
     pub(super) connections: Arc<Semaphore>,
     pub(super) announcement_changed: Notify,
     pub(super) client: DaemonClient,
@@ -50,6 +52,7 @@
             log: RunLog::default(),
         };
         Self {
+            instance: format!("{:016x}", rand::random::<u64>()),
             connections: Arc::new(Semaphore::new(config.connections as usize)),
             announcement_changed: Notify::new(),
             client: build_client(),
