Split the clock and the effects out of the host, the context out of the kernel; one sidecar process for all tests

No behaviour changes. host.rs had 478 lines and three jobs, kernel.rs 421 and two. The platform tests had a second sidecar process and a second copy of the macro that names cases.

--- a/src/host/send_permit.rs
+++ b/src/host/send_permit.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use super::boot_time;
+use super::clock::boot_time;
 
 /// The permission of the guard to send a request. It expires, so that a request that was held up on
 /// its way to the socket, for instance while the process stood still, does not reach a target that
