Let a probe take the place of an unconfirmed report of another instance

What callers would see: a target out of use for one report period after its sidecar restarted, if a late report of the start before it arrives first.

Cause: the late report was recorded as unconfirmed, and the probe, which named the instance that really runs, was ignored because it gives no start time.

Change: a probe is new by nature, so it replaces an unconfirmed start; a confirmed one that is ready still goes before it. Test: a_probe_takes_the_place_of_an_unconfirmed_report_of_another_instance failed before.

--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -72,6 +72,11 @@
         }
     }
 
+    /// Returns whether the start is confirmed and not leaving.
+    fn is_ready(&self) -> bool {
+        self.is_confirmed && !self.report.is_leaving
+    }
+
     /// Returns whether the report may be announced; that the target is leaving always may.
     fn is_usable(&self) -> bool {
         self.is_confirmed || self.report.is_leaving
@@ -179,18 +184,19 @@
     }
 
     /// Records that the target responded to a probe, as a report without start time and sequence.
-    /// The response is new, so it also confirms the current start of that instance.
+    /// The response is new: it confirms an unconfirmed start of its instance, and takes the place of
+    /// one of another instance.
     pub fn record_probe(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
-        let instance = report.instance.clone();
-        let outcome = self.record_report(now_us, report);
-        let Some(current) = &mut self.current else {
-            return outcome;
-        };
-        if current.report.instance != instance || current.is_usable() {
-            return outcome;
+        let instance = &report.instance;
+        match &mut self.current {
+            Some(current) if current.is_ready() => ReportOutcome::Stale,
+            Some(current) if !current.is_usable() && current.report.instance == *instance => {
+                current.is_confirmed = true;
+                ReportOutcome::Changed
+            }
+            _ if self.departures.cover(now_us, instance, None) => ReportOutcome::Stale,
+            _ => self.set_current(CurrentStart::new(now_us, report, true)),
         }
-        current.is_confirmed = true;
-        ReportOutcome::Changed
     }
 
     /// Records that a start of the target announced that it is leaving, so that its later reports
