Record a drain's start time also while its instance is held

What callers would see: a target that left is used again after 30 s, if a departure without a start time came before the drain that names it and a report of it is later than that. Found by reading the diff.

Cause: the report was ignored as a whole while all starts of the instance count as departed. Change: that a start leaves is recorded first. Test: a_drain_that_follows_a_departure_of_an_unknown_start_is_not_forgotten_with_it failed before.

--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -155,13 +155,14 @@
     /// Records a report.
     pub fn record_report(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
         let (instance, started_at_ms) = (&report.instance, report.started_at_ms);
-        if self.departures.cover(now_us, instance, started_at_ms) {
-            return ReportOutcome::Stale;
-        }
+        let has_departed = self.departures.cover(now_us, instance, started_at_ms);
         if report.is_leaving {
             let started_at_ms = started_at_ms.or(self.current_start_of(instance));
             self.departures.record(now_us, instance, started_at_ms);
         }
+        if has_departed {
+            return ReportOutcome::Stale;
+        }
         let is_confirmed = now_us >= self.late_reports_until_us;
         let relation = match &self.current {
             Some(current) => relate(&current.report, &report),
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -239,6 +239,16 @@
     assert_eq!(watch.confirmed_report().unwrap().instance, "a".into());
 }
 
+/// A drain that gives the start time tells which start a departure without one was of.
+#[test]
+fn a_drain_that_follows_a_departure_of_an_unknown_start_is_not_forgotten_with_it() {
+    let mut watch = TargetWatch::default();
+    watch.record_departure(0, &"a".into(), None);
+    watch.record_report(0, report("a", 1, 6, true));
+    let outcome = watch.record_report(60_000_000, report("a", 1, 5, false));
+    assert_eq!(outcome, ReportOutcome::Stale);
+}
+
 /// A target whose probes fail, though it is well, must be used in the end.
 #[test]
 fn a_report_counts_without_a_probe_once_late_reports_are_over() {
