Let restarted daemons of the tests listen where no outgoing connection can take their port

Cause: the processes tests bind 127.0.0.1 with a port that the system chose, and a restarted daemon binds the same port again.

Change: daemons of the tests listen at a loopback address of their test process.

--- a/tests/interface.rs
+++ b/tests/interface.rs
@@ -1,6 +1,8 @@
 //! The HTTP interfaces for callers and operators, and the command line: invalid input and slow
 //! callers, with real processes.
 
+#[path = "support/loopback.rs"]
+mod loopback;
 #[path = "support/processes.rs"]
 mod processes;
 
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -1,5 +1,7 @@
 //! The links between daemons on real sockets: bodies in chunks and altered bytes.
 
+#[path = "support/loopback.rs"]
+mod loopback;
 #[path = "support/processes.rs"]
 mod processes;
 #[path = "support/sized_answers.rs"]
--- a/tests/processes.rs
+++ b/tests/processes.rs
@@ -1,6 +1,8 @@
 //! The guarantees of the system with real processes: graceful shutdowns, kills, pauses, silent
 //! links and an unavailable platform.
 
+#[path = "support/loopback.rs"]
+mod loopback;
 #[path = "support/processes.rs"]
 mod processes;
 
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -6,6 +6,8 @@
 mod cases;
 #[path = "support/fault_schedule.rs"]
 mod fault_schedule;
+#[path = "support/loopback.rs"]
+mod loopback;
 #[path = "support/processes.rs"]
 mod processes;
 #[path = "support/soak_callers.rs"]
--- a/tests/support/processes.rs
+++ b/tests/support/processes.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::io::{BufRead, BufReader};
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::process::{Child, Command, ExitStatus, Stdio};
 use std::sync::atomic::{AtomicU32, Ordering};
@@ -18,6 +19,8 @@
 use nix::sys::signal::{Signal, kill};
 use nix::unistd::Pid;
 
+use crate::loopback::process_ip;
+
 /// The operator token of all daemons in a test.
 pub const TOKEN: &str = "0123456789abcdef";
 
@@ -37,7 +40,7 @@
 
 /// Returns settings with ports that the operating system chooses.
 pub fn settings(platform_url: &str, zone: &str) -> Settings {
-    let any = "127.0.0.1:0".parse().unwrap();
+    let any = SocketAddr::new(process_ip(), 0);
     Settings {
         caller_address: any,
         operator_address: any,
