--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -65,8 +65,9 @@
             return;
         }
         let request = departure_row::delete_request(self.settings.address, version);
-        if let Err(error) = self.request_table(request).await {
-            log::info!(target: "dragonflylug", "the stored departures of the target remain: {error:?}");
+        let response = self.request_table(request).await;
+        if !matches!(response, Ok(TableResponse::Written(_))) {
+            log::info!(target: "dragonflylug", "the stored departures of the target remain: {response:?}");
         }
     }
 
