Read and log what targets say of themselves in their answers

Cause: an answer could name a rate limit or say that its target leaves, and nothing in the sidecar read it, so that neither logs nor metrics could tell the hypotheses of the incident apart. Change: the headers are decoded once, at the border, into AnswerSignals; the guard tracks them for the current start of the target (ConditionTracker) and logs a line when a limit is named, changed or lifted, and when the target first says that it leaves. A gauge for the limit, counters for requests sent to the target and for limits that cannot be read. Admission does not use them yet.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -17,7 +17,7 @@
 use dragonflylug::settings::Settings;
 use dragonflylug::sorted::SortedMap;
 use dragonflylug::table::{PlatformError, TableRequest, TableResponse};
-use dragonflylug::target::Announcement;
+use dragonflylug::target::{Announcement, AnswerSignals};
 
 /// The index of the node that accepts the call.
 const ENTRY: usize = 0;
@@ -110,6 +110,7 @@
         connections: 16,
         is_draining: false,
         instance: None,
+        started_at_ms: None,
     }
 }
 
@@ -199,7 +200,11 @@
             Effect::SendTargetRequest { call, http, .. } => {
                 let body = format!("{} {} is free", http.method, http.path);
                 let outcome = TargetOutcome::Answered(Answer::new(200, Vec::new(), body.into()));
-                let event = Event::TargetRequestEnded { call, outcome };
+                let event = Event::TargetRequestEnded {
+                    call,
+                    outcome,
+                    signals: AnswerSignals::default(),
+                };
                 self.inbox
                     .push_back((node, Input::Event(calls::guard::NAME, event)));
             }
--- a/examples/membership_scale.rs
+++ b/examples/membership_scale.rs
@@ -233,6 +233,7 @@
         connections: 300,
         is_draining: false,
         instance: None,
+        started_at_ms: None,
     })
 }
 
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -1,6 +1,7 @@
 //! The guard role: admits requests and runs them on the target beside the daemon.
 
 mod cancel;
+mod condition;
 mod dispatch;
 mod drain;
 mod finish;
@@ -22,7 +23,7 @@
 use crate::retry::Allowance;
 use crate::run_once::{self, BeginOutcome, CLAIMS_DUE, ClaimDecision, ClaimHolder, RunOnce};
 use crate::sorted::SortedMap;
-use crate::target::Announcement;
+use crate::target::{Announcement, ConditionTracker};
 use crate::verdict::{Refusal, RefusalReason, Verdict};
 use drain::PlannedStop;
 
@@ -58,6 +59,7 @@
 pub struct Guard {
     settings: GuardSettings,
     target: Option<Announcement>,
+    condition: ConditionTracker,
     calls: SortedMap<CallKey, GuardCall>,
     inbound: SortedMap<InboundKey, CallKey>,
     running: SortedMap<RequestId, CallKey>,
@@ -128,6 +130,7 @@
         Self {
             settings,
             target: None,
+            condition: ConditionTracker::default(),
             calls: SortedMap::default(),
             inbound: SortedMap::default(),
             running: SortedMap::default(),
@@ -280,6 +283,8 @@
     fn handle_notice(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(announcement) => {
+                let now_us = context.now_us();
+                self.condition.record_announcement(now_us, &announcement);
                 self.target = Some(announcement);
                 self.update_leaving(context);
             }
@@ -324,7 +329,12 @@
                 context.respond(inbound, PeerResponse::Load(load));
             }
             Event::PeerRequestCancelled(inbound) => self.cancel_inbound(context, inbound),
-            Event::TargetRequestEnded { call, outcome } => {
+            Event::TargetRequestEnded {
+                call,
+                outcome,
+                signals,
+            } => {
+                self.record_signals(context, call, signals);
                 self.handle_target_outcome(context, call, outcome)
             }
             Event::ClaimDecided(decided) => self.handle_run_once_decision(context, decided),
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -6,7 +6,7 @@
 use crate::headers;
 use crate::ids::{CallKey, WorkKind};
 use crate::kernel::{Context, Effect};
-use crate::metrics::Latency;
+use crate::metrics::{Counter, Latency};
 use crate::pressure::{self, Pressures};
 use crate::request::{Header, HttpRequest, PeerCall, RunKey};
 use crate::run_once::{self, RunOnce};
@@ -102,6 +102,7 @@
             let inputs = self.decision_inputs(context, guard_call);
             guard_call.log_decision(context, Step::Started, "sent", true, inputs);
         }
+        context.count(Counter::unlabelled("target_requests"));
         context.emit(Effect::SendTargetRequest {
             call: key,
             http,
--- a/src/headers.rs
+++ b/src/headers.rs
@@ -29,6 +29,10 @@
 pub const TICKETS: &str = "x-dragonflylug-tickets";
 /// The retry-after time, in milliseconds.
 pub const RETRY_AFTER_MS: &str = "x-dragonflylug-retry-after-ms";
+/// The answer header with which a target names the rate, in requests per second, that it accepts.
+pub const RATE_LIMIT: &str = "x-dragonflylug-rate-limit";
+/// The answer header with the value 1 with which a target says that it is leaving.
+pub const LEAVING: &str = "x-dragonflylug-leaving";
 /// The prefix of all headers specific to this product.
 pub const PREFIX: &str = "x-dragonflylug-";
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -32,7 +32,7 @@
 
 use crate::calls;
 use crate::ids::{CallKey, InboundKey, InstanceId, OutboundKey};
-use crate::kernel::{CallReply, Event, Input, Kernel, LinkError, Notice};
+use crate::kernel::{CallReply, Event, Input, Kernel, LinkError, Notice, TargetOutcome};
 use crate::metrics::MetricSink;
 use crate::operator::OperatorReply;
 use crate::peer::{PeerRequest, PeerResponse};
@@ -40,7 +40,7 @@
 use crate::routes::RouteSource;
 use crate::sorted::SortedMap;
 use crate::table::{BoxFuture, ObjectStore, TableStore};
-use crate::target::Announcement;
+use crate::target::{Announcement, AnswerSignals};
 use decisions::DecisionLog;
 use send_permit::SendPermit;
 
@@ -58,7 +58,7 @@
 /// The transport for requests to the target beside the daemon.
 pub trait TargetTransport: Send + Sync {
     /// Sends a request to the target that last announced itself.
-    fn send(&self, request: TargetRequest) -> BoxFuture<'_, crate::kernel::TargetOutcome>;
+    fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetReply>;
 
     /// Queries the health path of the target for the identifier of its instance; returns `None` if
     /// the target is unhealthy or unreachable, or if the implementation has no health check.
@@ -89,6 +89,24 @@
     pub permit: SendPermit,
 }
 
+/// How a request to the target ended.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetReply {
+    /// The outcome.
+    pub outcome: TargetOutcome,
+    /// What the answer, if there is one, says of the target.
+    pub signals: AnswerSignals,
+}
+
+impl From<TargetOutcome> for TargetReply {
+    fn from(outcome: TargetOutcome) -> Self {
+        Self {
+            outcome,
+            signals: AnswerSignals::default(),
+        }
+    }
+}
+
 /// The adapters through which a node reaches everything outside its kernel.
 pub struct NodeAdapters {
     /// The clock.
--- a/src/host/effects.rs
+++ b/src/host/effects.rs
@@ -7,7 +7,7 @@
 use tokio::task::AbortHandle;
 
 use super::send_permit::SendPermit;
-use super::{Node, TargetRequest, lock};
+use super::{Node, TargetReply, TargetRequest, lock};
 use crate::calls;
 use crate::ids::{CallKey, OutboundKey};
 use crate::kernel::{Effect, Event, Input, StateChange};
@@ -86,6 +86,7 @@
                 abort_task(handle);
             }
             Effect::Count(counter, by) => self.adapters.metrics.add(counter, by),
+            Effect::Set(gauge, value) => self.adapters.metrics.set(gauge, value),
             Effect::Observe(latency, service, ms) => {
                 self.adapters.metrics.observe(latency, &service, ms);
             }
@@ -120,9 +121,13 @@
     fn send_to_target(self: &Arc<Self>, call: CallKey, request: TargetRequest) {
         let node = Arc::clone(self);
         let task = tokio::spawn(async move {
-            let outcome = node.adapters.target.send(request).await;
+            let TargetReply { outcome, signals } = node.adapters.target.send(request).await;
             lock(&node.pending).target_requests.remove(&call);
-            let event = Event::TargetRequestEnded { call, outcome };
+            let event = Event::TargetRequestEnded {
+                call,
+                outcome,
+                signals,
+            };
             node.submit(Input::Event(calls::guard::NAME, event));
         });
         lock(&self.pending)
--- a/src/host/metrics.rs
+++ b/src/host/metrics.rs
@@ -1,15 +1,17 @@
-//! Counters and histograms, kept by OpenTelemetry and exported in the Prometheus text format.
+//! Counters, gauges and histograms, kept by OpenTelemetry and exported in the Prometheus text format.
 
 use std::sync::Mutex;
 
 use opentelemetry::KeyValue;
-use opentelemetry::metrics::{Counter as Instrument, Histogram, Meter, MeterProvider};
+use opentelemetry::metrics::{
+    Counter as Instrument, Gauge as GaugeInstrument, Histogram, Meter, MeterProvider,
+};
 use opentelemetry_sdk::metrics::SdkMeterProvider;
 use prometheus::{Registry, TextEncoder};
 
 use super::lock;
 use crate::ids::ServiceName;
-use crate::metrics::{Counter, Latency, MetricSink};
+use crate::metrics::{Counter, Gauge, Latency, MetricSink};
 use crate::sorted::SortedMap;
 
 /// The upper bounds of the histogram buckets.
@@ -17,11 +19,12 @@
     1.0, 5.0, 10.0, 25.0, 50.0, 100.0, 250.0, 500.0, 1_000.0, 2_000.0, 4_000.0, 8_000.0,
 ];
 
-/// The counters and histograms of a process.
+/// The counters, gauges and histograms of a process.
 pub struct Metrics {
     registry: Registry,
     meter: Meter,
     counters: Mutex<SortedMap<&'static str, Instrument<u64>>>,
+    gauges: Mutex<SortedMap<Gauge, GaugeInstrument<f64>>>,
     histograms: Mutex<SortedMap<Latency, Histogram<u64>>>,
     _provider: SdkMeterProvider,
 }
@@ -43,6 +46,7 @@
             registry,
             meter,
             counters: Mutex::default(),
+            gauges: Mutex::default(),
             histograms: Mutex::default(),
             _provider: provider,
         })
@@ -70,6 +74,16 @@
         }
     }
 
+    fn set(&self, gauge: Gauge, value: f64) {
+        let mut gauges = lock(&self.gauges);
+        let instrument = gauges.get_or_insert_with(gauge, || {
+            self.meter
+                .f64_gauge(format!("dragonflylug_{}", gauge.name()))
+                .build()
+        });
+        instrument.record(value, &[]);
+    }
+
     fn observe(&self, latency: Latency, service: &ServiceName, ms: u64) {
         let mut histograms = lock(&self.histograms);
         let histogram = histograms.get_or_insert_with(latency, || {
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -150,6 +150,7 @@
             connections: report.slots.saturating_mul(CONNECTIONS_PER_SLOT),
             is_draining: report.is_leaving,
             instance: Some(report.instance),
+            started_at_ms: report.started_at_ms,
         };
         self.transport.handle_announcement(&announcement);
         self.node
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -5,16 +5,18 @@
 
 use bytes::Bytes;
 use http_body_util::{BodyExt, Full};
+use hyper::header::HeaderMap;
 use hyper::{Request, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::{Clock, MonotonicClock, TargetRequest, TargetTransport, http, lock};
+use super::{Clock, MonotonicClock, TargetReply, TargetRequest, TargetTransport, http, lock};
+use crate::headers;
 use crate::kernel::TargetOutcome;
 use crate::request::{Answer, HttpRequest};
 use crate::table::BoxFuture;
-use crate::target::{Announcement, Departures};
+use crate::target::{Announcement, AnswerSignals, Departures, RateLimitSignal};
 
 /// How long an idle connection to the target is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -106,33 +108,49 @@
         builder.body(Full::new(http.body)).ok()
     }
 
-    async fn exchange(&self, http: HttpRequest) -> TargetOutcome {
+    async fn exchange(&self, http: HttpRequest) -> TargetReply {
         let Some(request) = self.build_request(http) else {
-            return TargetOutcome::NotSent;
+            return TargetOutcome::NotSent.into();
         };
         let response = match self.client.request(request).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return TargetOutcome::NotSent,
-            Err(_) => return TargetOutcome::Lost,
+            Err(error) if error.is_connect() => return TargetOutcome::NotSent.into(),
+            Err(_) => return TargetOutcome::Lost.into(),
         };
         let status = response.status().as_u16();
         let headers = http::forwarded_headers(response.headers());
+        let signals = read_signals(response.headers());
         match response.into_body().collect().await {
-            Ok(body) => TargetOutcome::Answered(Answer::new(status, headers, body.to_bytes())),
-            Err(_) => TargetOutcome::Lost,
+            Ok(body) => TargetReply {
+                outcome: TargetOutcome::Answered(Answer::new(status, headers, body.to_bytes())),
+                signals,
+            },
+            Err(_) => TargetOutcome::Lost.into(),
         }
     }
 }
 
+/// Reads what the head of an answer says of the target.
+fn read_signals(header_map: &HeaderMap) -> AnswerSignals {
+    let limits = header_map.get_all(headers::RATE_LIMIT).iter();
+    let limits = limits.map(|value| value.to_str().ok());
+    AnswerSignals {
+        rate_limit: RateLimitSignal::read(limits, true),
+        is_leaving: header_map
+            .get(headers::LEAVING)
+            .is_some_and(|value| value == "1"),
+    }
+}
+
 impl TargetTransport for TargetClient {
-    fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetOutcome> {
+    fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetReply> {
         Box::pin(async move {
             if !request.permit.is_valid() {
-                return TargetOutcome::NotSent;
+                return TargetOutcome::NotSent.into();
             }
             let exchange = self.exchange(request.http);
             let exchange = tokio::time::timeout(request.timeout, exchange).await;
-            exchange.unwrap_or(TargetOutcome::Lost)
+            exchange.unwrap_or(TargetOutcome::Lost.into())
         })
     }
 }
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -10,7 +10,7 @@
 use super::{Effect, Event, LOCAL_INBOUND_BIT, LocalRequest, Notice, Service, State, StateChange};
 use crate::decision::Decision;
 use crate::ids::{InboundKey, OutboundKey, ServiceName};
-use crate::metrics::{Counter, Latency};
+use crate::metrics::{Counter, Gauge, Latency};
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::table::{ObjectRequest, TableRequest};
 
@@ -184,6 +184,11 @@
         self.emit(Effect::Count(counter, by));
     }
 
+    /// Sets a gauge.
+    pub fn set_gauge(&mut self, gauge: Gauge, value: f64) {
+        self.emit(Effect::Set(gauge, value));
+    }
+
     /// Records a latency in the histogram of a service, in whole milliseconds.
     pub fn observe(&mut self, latency: Latency, service: &ServiceName, elapsed_us: u64) {
         self.emit(Effect::Observe(
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -7,7 +7,7 @@
 use crate::decision::Decision;
 use crate::ids::{CallKey, InboundKey, MemberId, OutboundKey, ServiceName};
 use crate::membership::Member;
-use crate::metrics::{Counter, Latency};
+use crate::metrics::{Counter, Gauge, Latency};
 use crate::operator::OperatorReply;
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::request::HttpRequest;
@@ -106,6 +106,8 @@
     },
     /// Add to a counter.
     Count(Counter, u64),
+    /// Set a gauge.
+    Set(Gauge, f64),
     /// Record a latency of a service, in milliseconds, in its histogram.
     Observe(Latency, ServiceName, u64),
     /// Log a state change.
--- a/src/kernel/input.rs
+++ b/src/kernel/input.rs
@@ -11,6 +11,7 @@
 use crate::routes::RouteUpdate;
 use crate::run_once::ClaimDecision;
 use crate::table::{ObjectResponse, PlatformError, TableResponse};
+use crate::target::AnswerSignals;
 
 /// An input from the host.
 #[derive(Clone, Debug)]
@@ -126,6 +127,8 @@
         call: CallKey,
         /// The outcome.
         outcome: TargetOutcome,
+        /// What the answer, if there is one, says of the target.
+        signals: AnswerSignals,
     },
 }
 
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -136,11 +136,30 @@
     }
 }
 
-/// A sink for counters and latencies.
+/// A value that rises and falls.
+#[apply(value!)]
+pub enum Gauge {
+    /// The rate limit of the target beside the daemon, in requests per second; infinite without one.
+    TargetRateLimit,
+}
+
+impl Gauge {
+    /// Returns the metric's name without prefix.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::TargetRateLimit => "target_rate_limit_per_s",
+        }
+    }
+}
+
+/// A sink for counters, gauges and latencies.
 pub trait MetricSink: Send + Sync {
     /// Adds to a counter.
     fn add(&self, counter: Counter, by: u64);
 
+    /// Sets a gauge.
+    fn set(&self, gauge: Gauge, value: f64);
+
     /// Records a latency of a service in its histogram.
     fn observe(&self, latency: Latency, service: &ServiceName, ms: u64);
 }
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,10 +1,16 @@
 //! The target beside a daemon, as described by its announcements.
 
+mod condition;
 pub mod departure_row;
 mod departures;
+mod signals;
 mod watch;
 
+pub use condition::{
+    ConditionChange, ConditionTracker, RateLimitState, TargetCondition, TargetStart,
+};
 pub use departures::{Departure, Departures};
+pub use signals::{AnswerSignals, RateLimitSignal, RequestRate};
 pub use watch::{ReportOutcome, TargetReport, TargetWatch};
 
 use macro_rules_attribute::apply;
@@ -30,4 +36,7 @@
     /// The identifier of this start of the target's process, if it has one.
     #[serde(default)]
     pub instance: Option<InstanceId>,
+    /// The time of this start on the target's clock, if the target gives it.
+    #[serde(default)]
+    pub started_at_ms: Option<u64>,
 }
--- /dev/null
+++ b/src/target/condition.rs
@@ -0,0 +1,144 @@
+//! Tracks what the current start of the target has said of itself in its answers.
+
+use macro_rules_attribute::apply;
+
+use super::Announcement;
+use super::signals::{AnswerSignals, RateLimitSignal, RequestRate};
+use crate::derives::{message, value};
+use crate::ids::InstanceId;
+
+/// What is known of the rate that a target accepts.
+#[apply(value!)]
+#[derive(Default)]
+pub enum RateLimitState {
+    /// No answer was conclusive yet.
+    #[default]
+    Unknown,
+    /// It names no limit.
+    Unlimited,
+    /// It accepts this rate from all daemons together.
+    Limited(RequestRate),
+}
+
+/// A start of a target.
+#[apply(message!)]
+#[derive(Default)]
+pub struct TargetStart {
+    /// The instance, if the target gives one.
+    pub instance: Option<InstanceId>,
+    /// The time of the start on the target's clock; `None` if it is not known.
+    pub started_at_ms: Option<u64>,
+}
+
+impl TargetStart {
+    /// Returns whether both may be the same start: an unknown start time matches each.
+    pub fn may_be(&self, other: &Self) -> bool {
+        let is_same_time = match (self.started_at_ms, other.started_at_ms) {
+            (Some(own_ms), Some(other_ms)) => own_ms == other_ms,
+            _ => true,
+        };
+        self.instance == other.instance && is_same_time
+    }
+}
+
+/// What a start of a target has said of itself in its answers.
+#[apply(message!)]
+#[derive(Default)]
+pub struct TargetCondition {
+    /// The start.
+    pub start: TargetStart,
+    /// The rate that it accepts.
+    pub rate_limit: RateLimitState,
+    /// Whether it is leaving.
+    pub is_leaving: bool,
+    /// Orders the conditions that one daemon reports; grows with each change.
+    pub revision: u64,
+}
+
+/// What an answer changed.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct ConditionChange {
+    /// Whether the known rate limit is another one.
+    pub is_rate_limit_changed: bool,
+    /// Whether the target was not known to be leaving.
+    pub has_begun_to_leave: bool,
+}
+
+/// Tracks the condition of the current start from answers that may overtake each other.
+#[derive(Default)]
+pub struct ConditionTracker {
+    condition: TargetCondition,
+    /// Since when the start is the current one.
+    since_us: u64,
+    /// When the latest answer that named a limit arrived.
+    limited_at_us: u64,
+}
+
+impl ConditionTracker {
+    /// Returns what is known of the current start.
+    pub fn condition(&self) -> &TargetCondition {
+        &self.condition
+    }
+
+    /// Records an announcement; nothing that a former start said applies to another one.
+    pub fn record_announcement(&mut self, now_us: u64, announcement: &Announcement) {
+        let start = TargetStart {
+            instance: announcement.instance.clone(),
+            started_at_ms: announcement.started_at_ms,
+        };
+        if !self.condition.start.may_be(&start) {
+            *self = Self {
+                since_us: now_us,
+                limited_at_us: now_us,
+                condition: TargetCondition {
+                    revision: self.condition.revision + 1,
+                    ..TargetCondition::default()
+                },
+            };
+        }
+        let started_at_ms = start.started_at_ms.or(self.condition.start.started_at_ms);
+        self.condition.start = TargetStart {
+            started_at_ms,
+            ..start
+        };
+    }
+
+    /// Records what an answer to a request said that was sent at `sent_us`.
+    ///
+    /// An answer without a limit lifts one only if its request was sent after the latest answer that
+    /// named a limit had arrived; an earlier one may have been overtaken.
+    pub fn record_signals(
+        &mut self,
+        now_us: u64,
+        sent_us: u64,
+        signals: AnswerSignals,
+    ) -> ConditionChange {
+        if sent_us < self.since_us {
+            return ConditionChange::default();
+        }
+        let before = (self.condition.rate_limit, self.condition.is_leaving);
+        match signals.rate_limit {
+            RateLimitSignal::Limited(rate) => {
+                self.limited_at_us = now_us;
+                self.condition.rate_limit = RateLimitState::Limited(rate);
+            }
+            RateLimitSignal::Unlimited if sent_us > self.limited_at_us => {
+                self.condition.rate_limit = RateLimitState::Unlimited;
+            }
+            _ => {}
+        }
+        self.condition.is_leaving |= signals.is_leaving;
+        self.change_since(before)
+    }
+
+    fn change_since(&mut self, before: (RateLimitState, bool)) -> ConditionChange {
+        let change = ConditionChange {
+            is_rate_limit_changed: before.0 != self.condition.rate_limit,
+            has_begun_to_leave: before.1 != self.condition.is_leaving,
+        };
+        if change != ConditionChange::default() {
+            self.condition.revision += 1;
+        }
+        change
+    }
+}
--- a/tests/leaving_guard.rs
+++ b/tests/leaving_guard.rs
@@ -14,6 +14,7 @@
 use dragonflylug::peer::PeerRequest;
 use dragonflylug::request::{PeerCall, RunKey};
 use dragonflylug::settings::Settings;
+use dragonflylug::target::AnswerSignals;
 use network::ok_answer;
 use nodes::{address, announcement, request};
 
@@ -91,6 +92,7 @@
     let ended = Event::TargetRequestEnded {
         call: running[0],
         outcome: TargetOutcome::Answered(ok_answer()),
+        signals: AnswerSignals::default(),
     };
     let effects = kernel.handle(RESUME_US, Input::Event(guard::NAME, ended));
     assert_eq!(sent_calls(effects), []);
@@ -109,6 +111,7 @@
     let ended = Event::TargetRequestEnded {
         call: running[0],
         outcome: TargetOutcome::Answered(ok_answer()),
+        signals: AnswerSignals::default(),
     };
     let effects = kernel.handle(LEAVE_US + 1, Input::Event(guard::NAME, ended));
     assert_eq!(sent_calls(effects).len(), 1);
--- a/tests/membership.rs
+++ b/tests/membership.rs
@@ -28,6 +28,7 @@
         connections: 300,
         is_draining: false,
         instance: None,
+        started_at_ms: None,
     }
 }
 
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -22,6 +22,7 @@
 use dragonflylug::table::{
     Expected, ObjectRequest, ObjectResponse, PlatformError, Row, TableRequest, TableResponse,
 };
+use dragonflylug::target::AnswerSignals;
 use dragonflylug::verdict::Verdict;
 
 /// Returns the outcome of a request that reaches a fake target at a time, and how long it takes.
@@ -454,7 +455,11 @@
                 } else {
                     outcome
                 };
-                let event = Event::TargetRequestEnded { call, outcome };
+                let event = Event::TargetRequestEnded {
+                    call,
+                    outcome,
+                    signals: AnswerSignals::default(),
+                };
                 let input = Input::Event(dragonflylug::calls::guard::NAME, event);
                 self.schedule_input(after_us.min(timeout_us), node, input);
             }
@@ -473,7 +478,7 @@
                 *self.nodes[node].counters.get_or_insert_with(counter, || 0) += by;
             }
             Effect::LogStateChange(change) => self.nodes[node].log.push(change),
-            Effect::Observe(..) => {}
+            Effect::Set(..) | Effect::Observe(..) => {}
             Effect::LogDecision(decision) => self.nodes[node].decisions.push(*decision),
             Effect::ReadyToExit => self.nodes[node].is_stopped = true,
             Effect::CancelRequest { .. } => {}
@@ -487,6 +492,7 @@
         let lost = Event::TargetRequestEnded {
             call: run.call,
             outcome: TargetOutcome::Lost,
+            signals: AnswerSignals::default(),
         };
         let lost = Input::Event(dragonflylug::calls::guard::NAME, lost);
         self.schedule_input(timeout_us, node, lost);
@@ -531,7 +537,11 @@
     }
 
     fn finish_run(&mut self, node: usize, call: CallKey, outcome: TargetOutcome) {
-        let event = Event::TargetRequestEnded { call, outcome };
+        let event = Event::TargetRequestEnded {
+            call,
+            outcome,
+            signals: AnswerSignals::default(),
+        };
         self.schedule_input(
             0,
             node,
--- a/tests/support/nodes.rs
+++ b/tests/support/nodes.rs
@@ -83,6 +83,7 @@
         connections: slots * 8,
         is_draining: false,
         instance: None,
+        started_at_ms: None,
     }
 }
 
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -185,7 +185,7 @@
                 };
                 self.reply(context, call, verdict);
             }
-            Event::TargetRequestEnded { call, outcome } => {
+            Event::TargetRequestEnded { call, outcome, .. } => {
                 let verdict = match outcome {
                     TargetOutcome::Answered(answer) => Verdict::Ran(answer),
                     TargetOutcome::NotSent | TargetOutcome::Refused => {
--- a/tests/target_announcements.rs
+++ b/tests/target_announcements.rs
@@ -11,6 +11,7 @@
         connections: 16,
         is_draining,
         instance: Some(instance.into()),
+        started_at_ms: None,
     }
 }
 
--- /dev/null
+++ b/tests/target_condition.rs
@@ -0,0 +1,143 @@
+//! What a target says of itself in its answers, which may overtake each other, be repeated or carry
+//! values that cannot be read.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
+
+use dragonflylug::target::{
+    Announcement, AnswerSignals, ConditionTracker, RateLimitSignal, RateLimitState, RequestRate,
+};
+
+fn rate(text: &str) -> RequestRate {
+    RequestRate::parse(text).unwrap()
+}
+
+fn read(values: &[&str]) -> RateLimitSignal {
+    RateLimitSignal::read(values.iter().map(|value| Some(*value)), true)
+}
+
+fn signals(rate_limit: RateLimitSignal) -> AnswerSignals {
+    AnswerSignals {
+        rate_limit,
+        is_leaving: false,
+    }
+}
+
+fn announcement(instance: &str, started_at_ms: Option<u64>) -> Announcement {
+    Announcement {
+        service: "s".into(),
+        address: "127.0.0.1:1".parse().unwrap(),
+        slots: 4,
+        connections: 4,
+        is_draining: false,
+        instance: Some(instance.into()),
+        started_at_ms,
+    }
+}
+
+/// Returns the tracker of a start that named a limit at 1,000 us.
+fn limited_tracker() -> ConditionTracker {
+    let mut tracker = ConditionTracker::default();
+    tracker.record_announcement(0, &announcement("i-1", Some(7)));
+    let limited = signals(RateLimitSignal::Limited(rate("8.4")));
+    assert!(
+        tracker
+            .record_signals(1_000, 500, limited)
+            .is_rate_limit_changed
+    );
+    tracker
+}
+
+fn is_limited(tracker: &ConditionTracker) -> bool {
+    tracker.condition().rate_limit == RateLimitState::Limited(rate("8.4"))
+}
+
+/// Fails if the values of the header are not read as expected; no value means "no limit".
+fn check_values((values, expected): (&[&str], RateLimitSignal)) {
+    assert_eq!(read(values), expected);
+    assert_ne!(read(values), RateLimitSignal::Unlimited);
+}
+
+cases! {
+    check_values:
+    empty_value_lifts_a_limit => (&[""], RateLimitSignal::Invalid),
+    negative_value_lifts_a_limit => (&["-1"], RateLimitSignal::Invalid),
+    negative_zero_lifts_a_limit => (&["-0"], RateLimitSignal::Invalid),
+    not_a_number_lifts_a_limit => (&["nan"], RateLimitSignal::Invalid),
+    infinity_lifts_a_limit => (&["inf"], RateLimitSignal::Invalid),
+    number_beyond_all_floats_lifts_a_limit => (&["1e400"], RateLimitSignal::Invalid),
+    thousand_digits_lift_a_limit => (&[&"9".repeat(1_000)], RateLimitSignal::Invalid),
+    thousand_digits_after_the_point_lift_a_limit =>
+        (&[&format!("8.4{}", "0".repeat(1_000))], RateLimitSignal::Limited(rate("8.4"))),
+    zero_lifts_a_limit => (&["0"], RateLimitSignal::Limited(rate("0"))),
+    second_header_lifts_a_limit => (&["900", "8.4"], RateLimitSignal::Limited(rate("8.4"))),
+    second_header_that_cannot_be_read_lifts_a_limit =>
+        (&["8.4", "x"], RateLimitSignal::Limited(rate("8.4"))),
+}
+
+#[test]
+fn answer_without_the_header_lifts_no_limit_unless_it_is_conclusive() {
+    let none = || std::iter::empty();
+    assert_eq!(
+        RateLimitSignal::read(none(), true),
+        RateLimitSignal::Unlimited
+    );
+    assert_eq!(
+        RateLimitSignal::read(none(), false),
+        RateLimitSignal::Inconclusive
+    );
+}
+
+#[test]
+fn answer_that_was_overtaken_lifts_the_limit() {
+    let mut tracker = limited_tracker();
+    tracker.record_signals(2_000, 900, signals(RateLimitSignal::Unlimited));
+    assert!(is_limited(&tracker));
+    tracker.record_signals(3_000, 1_001, signals(RateLimitSignal::Unlimited));
+    assert_eq!(tracker.condition().rate_limit, RateLimitState::Unlimited);
+}
+
+#[test]
+fn value_that_cannot_be_read_lifts_the_limit() {
+    let mut tracker = limited_tracker();
+    tracker.record_signals(2_000, 1_500, signals(RateLimitSignal::Invalid));
+    tracker.record_signals(2_000, 1_500, signals(RateLimitSignal::Inconclusive));
+    assert!(is_limited(&tracker));
+}
+
+#[test]
+fn limit_of_a_former_start_applies_to_the_next_one() {
+    let mut tracker = limited_tracker();
+    tracker.record_announcement(2_000, &announcement("i-1", Some(8)));
+    assert_eq!(tracker.condition().rate_limit, RateLimitState::Unknown);
+    let late = signals(RateLimitSignal::Limited(rate("8.4")));
+    tracker.record_signals(2_500, 1_500, late);
+    assert_eq!(tracker.condition().rate_limit, RateLimitState::Unknown);
+}
+
+#[test]
+fn report_that_gives_the_start_time_later_lifts_the_limit() {
+    let mut tracker = ConditionTracker::default();
+    tracker.record_announcement(0, &announcement("i-1", None));
+    let limited = signals(RateLimitSignal::Limited(rate("8.4")));
+    tracker.record_signals(1_000, 500, limited);
+    tracker.record_announcement(2_000, &announcement("i-1", Some(7)));
+    assert!(is_limited(&tracker));
+}
+
+#[test]
+fn answer_that_does_not_say_that_the_target_leaves_takes_it_back() {
+    let mut tracker = limited_tracker();
+    let leaving = AnswerSignals {
+        is_leaving: true,
+        ..AnswerSignals::default()
+    };
+    assert!(
+        tracker
+            .record_signals(2_000, 1_500, leaving)
+            .has_begun_to_leave
+    );
+    tracker.record_signals(3_000, 2_500, signals(RateLimitSignal::Unlimited));
+    assert!(tracker.condition().is_leaving);
+}
