Send a target no more requests than the rate limit that it names

What callers saw: nothing; the target that asked for 8.4 requests a second got 83 in 4 s, and more. Change: a token bucket beside the slots, at the guard, through which all requests of all daemons go. The queue keeps its order, so urgent work goes first; its bound, the expected wait and the retry-after time follow the rate; a refusal for it has a reason of its own. Guards report the wait for the rate and the lower of slots and rate to entry daemons.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -68,7 +68,7 @@
             &queue_len,
             |bencher, &queue_len| {
                 let admission = admission_with_queue(queue_len);
-                bencher.iter(|| black_box(admission.next_queue_update_us()));
+                bencher.iter(|| black_box(admission.next_queue_update_us(0)));
             },
         );
     }
@@ -108,6 +108,7 @@
         queued: 0,
         is_leaving: false,
         pressure_permille: 0,
+        rate_wait_us: 0,
         service_us: 0,
     };
     for (members, pool) in [
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -1,10 +1,12 @@
 //! Admission control of a guard: decides which calls are sent to the target at once, wait in a
 //! queue or are refused.
 //!
-//! Under overload it keeps the target at its concurrency limit, sheds the lowest ranks first and
+//! Under overload it keeps the target at its concurrency limit and at the rate that the target
+//! names, sheds the lowest ranks first and
 //! refuses calls that would probably miss their deadline.
 
 mod limit;
+mod pacer;
 mod queue;
 mod service_time;
 mod threshold;
@@ -17,8 +19,10 @@
 use crate::pressure::{PressureController, PressureSettings};
 use crate::request::{LoadReport, Rank};
 use crate::sorted::SortedMap;
+use crate::target::RateLimitState;
 use crate::verdict::{Refusal, RefusalReason};
 use limit::Limit;
+use pacer::Pacer;
 use queue::{Queue, QueuedCall};
 use service_time::ServiceTimes;
 
@@ -149,6 +153,7 @@
 pub struct Admission {
     settings: AdmissionSettings,
     limit: Limit,
+    pacer: Pacer,
     queue: Queue,
     running: SortedMap<CallKey, RunningCall>,
     background_running: u32,
@@ -165,6 +170,7 @@
         Self {
             settings,
             limit,
+            pacer: Pacer::default(),
             queue: Queue::default(),
             running: SortedMap::default(),
             background_running: 0,
@@ -184,6 +190,15 @@
         self.limit.set_slots(now_us, used);
     }
 
+    /// Sets what is known of the rate that the target accepts.
+    pub fn set_rate_limit(&mut self, now_us: u64, rate_limit: RateLimitState) {
+        match rate_limit {
+            RateLimitState::Unknown => self.pacer.reset(),
+            RateLimitState::Unlimited => self.pacer.release(now_us),
+            RateLimitState::Limited(rate) => self.pacer.limit(now_us, rate.per_s()),
+        }
+    }
+
     /// Decides whether an arrival starts, waits or is refused.
     pub fn offer(&mut self, now_us: u64, arrival: Arrival) -> OfferResult {
         if self.limit.current() == 0 {
@@ -197,7 +212,9 @@
                 ..refusal
             });
         }
-        if self.has_room_for(arrival.rank.priority) && !self.queue.has_call_ahead_of(arrival.rank) {
+        if self.has_room_for(now_us, arrival.rank.priority)
+            && !self.queue.has_call_ahead_of(arrival.rank)
+        {
             self.pressure.observe_wait(now_us, arrival.kind, 0);
             self.start(now_us, arrival.call, arrival.rank.priority, arrival.kind);
             return OfferResult {
@@ -247,14 +264,20 @@
 
     /// Returns the time at which [`Admission::update_queue`] next has work to do: 0 if a queued
     /// call can start now, `None` if the queue is empty.
-    pub fn next_queue_update_us(&self) -> Option<u64> {
+    pub fn next_queue_update_us(&self, now_us: u64) -> Option<u64> {
         let first = self.queue.first()?;
-        if self.has_room_for(first.rank.priority) {
+        if self.has_room_for(now_us, first.rank.priority) {
             return Some(0);
         }
         let times = &self.service_times;
-        self.queue
-            .min_latest_start_us(|call| times.latest_start_us(call.deadline_us, call.kind))
+        let late_us = self
+            .queue
+            .min_latest_start_us(|call| times.latest_start_us(call.deadline_us, call.kind));
+        if !self.has_slot_for(first.rank.priority) {
+            return late_us;
+        }
+        let token_us = now_us.saturating_add(self.pacer.wait_us(now_us, 0));
+        late_us.map(|late_us| late_us.min(token_us))
     }
 
     /// Returns the pressure on the target, from 0 to 1.
@@ -277,24 +300,43 @@
 
     /// Returns the load that the guard reports to entry daemons, without `is_leaving` and the
     /// pressure, which the guard fills in.
-    pub fn load(&self) -> LoadReport {
+    pub fn load(&self, now_us: u64) -> LoadReport {
+        let rate_wait_us = self.pacer.wait_us(now_us, self.queue.len());
         LoadReport {
-            threshold: threshold::threshold(&self.queue, self.queue_len_bound()),
+            threshold: threshold::threshold(&self.queue, self.queue_len_bound(now_us)),
             in_flight: self.in_flight(),
-            limit: self.limit.current(),
+            limit: self.effective_limit(now_us),
             queued: self.queue.len(),
             is_leaving: false,
             pressure_permille: 0,
+            rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
             service_us: u32::try_from(self.service_times.mean_us()).unwrap_or(u32::MAX),
         }
     }
 
+    /// Returns the concurrency limit, or the mean number of calls at the target at its rate limit if
+    /// that is lower.
+    fn effective_limit(&self, now_us: u64) -> u32 {
+        let limit = self.limit.current();
+        let Some(per_s) = self.pacer.rate_per_s(now_us) else {
+            return limit;
+        };
+        let service_s = self.service_times.mean_us() as f64 / 1_000_000.0;
+        let mean_in_flight = (per_s * service_s).ceil() as u32;
+        limit.min(mean_in_flight.max(1))
+    }
+
     fn in_flight(&self) -> u32 {
         u32::try_from(self.running.len()).unwrap_or(u32::MAX)
     }
 
     /// Returns whether a call of a priority may be sent to the target now.
-    fn has_room_for(&self, priority: Priority) -> bool {
+    fn has_room_for(&self, now_us: u64, priority: Priority) -> bool {
+        self.has_slot_for(priority) && self.pacer.has_token(now_us)
+    }
+
+    /// Returns whether there is a slot for a call of a priority.
+    fn has_slot_for(&self, priority: Priority) -> bool {
         let limit = self.limit.current();
         if self.in_flight() >= limit {
             return false;
@@ -323,6 +365,7 @@
             kind,
         };
         self.running.insert(call, running);
+        self.pacer.take(now_us);
     }
 
     /// Returns whether a call that starts after a wait has more time left before its deadline than
@@ -343,15 +386,16 @@
             let refusal = self.refusal(now_us, RefusalReason::Deadline);
             return OfferResult::refused(refusal);
         }
-        if ahead >= self.queue_len_bound() {
-            let refusal = self.refusal(now_us, RefusalReason::Overload);
-            return OfferResult::refused(refusal);
+        let queue_len_bound = self.queue_len_bound(now_us);
+        let reason = self.overload_reason(now_us);
+        if ahead >= queue_len_bound {
+            return OfferResult::refused(self.refusal(now_us, reason));
         }
         let mut evicted = Vec::new();
-        for lowest in self.queue.shrink_to(self.queue_len_bound() - 1) {
+        for lowest in self.queue.shrink_to(queue_len_bound - 1) {
             evicted.push(EvictedCall {
                 call: lowest.call,
-                refusal: self.refusal(now_us, RefusalReason::Overload),
+                refusal: self.refusal(now_us, reason),
             });
         }
         self.last_sequence += 1;
@@ -387,7 +431,7 @@
             });
         }
         while let Some(first) = self.queue.first() {
-            if !self.has_room_for(first.rank.priority) {
+            if !self.has_room_for(now_us, first.rank.priority) {
                 break;
             }
             let Some(first) = self.queue.pop_first() else {
@@ -403,18 +447,37 @@
 
     /// Returns the expected wait of a call with a number of others ahead of it in the queue.
     fn expected_wait_us(&self, now_us: u64, ahead: u32) -> u64 {
+        let slot_wait_us = self.slot_wait_us(now_us, ahead);
+        slot_wait_us.max(self.pacer.wait_us(now_us, ahead))
+    }
+
+    /// Returns the expected wait for a slot of a call with a number of others ahead of it.
+    fn slot_wait_us(&self, now_us: u64, ahead: u32) -> u64 {
         let limit = u64::from(self.limit.current().max(1));
         (u64::from(ahead) + 1) * self.service_times.expected_us(now_us) / limit
     }
 
+    /// Returns why a call is refused that the queue has no room for.
+    fn overload_reason(&self, now_us: u64) -> RefusalReason {
+        let ahead = self.queue.len();
+        match self.pacer.wait_us(now_us, ahead) > self.slot_wait_us(now_us, ahead) {
+            true => RefusalReason::RateLimit,
+            false => RefusalReason::Overload,
+        }
+    }
+
     /// Returns the maximum queue length: `queue_len_max`, or fewer if the expected wait would
     /// exceed `queue_wait_max_ms`. The bound by wait is at least one.
-    fn queue_len_bound(&self) -> u32 {
+    fn queue_len_bound(&self, now_us: u64) -> u32 {
         let limit = self.limit.current();
         let service_us = self.service_times.mean_us().max(1);
         let wait_max_us = u64::from(self.settings.queue_wait_max_ms) * 1_000;
         let by_time = u64::from(limit) * wait_max_us / service_us;
         let by_time = u32::try_from(by_time).unwrap_or(u32::MAX);
+        let by_time = match self.pacer.rate_per_s(now_us) {
+            Some(per_s) => by_time.min((per_s * wait_max_us as f64 / 1_000_000.0) as u32),
+            None => by_time,
+        };
         by_time.max(1).min(self.settings.queue_len_max)
     }
 
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -283,8 +283,7 @@
     fn handle_notice(&mut self, context: &mut Context<'_>, notice: Notice) {
         match notice {
             Notice::TargetAnnounced(announcement) => {
-                let now_us = context.now_us();
-                self.condition.record_announcement(now_us, &announcement);
+                self.record_announcement(context, &announcement);
                 self.target = Some(announcement);
                 self.update_leaving(context);
             }
--- a/src/calls/guard/condition.rs
+++ b/src/calls/guard/condition.rs
@@ -1,10 +1,13 @@
 //! Applies what the target says of itself in its answers.
 
 use super::Guard;
+use crate::admission::{self, Admission};
 use crate::ids::CallKey;
 use crate::kernel::{Context, StateChange};
 use crate::metrics::{Counter, Gauge};
-use crate::target::{AnswerSignals, ConditionChange, RateLimitSignal, RateLimitState};
+use crate::target::{
+    Announcement, AnswerSignals, ConditionChange, RateLimitSignal, RateLimitState,
+};
 
 impl Guard {
     /// Records what the answer to a request says of the target.
@@ -26,6 +29,32 @@
         let now_us = context.now_us();
         let change = self.condition.record_signals(now_us, sent_us, signals);
         self.log_condition_change(context, change, &source);
+        if change.is_rate_limit_changed {
+            self.apply_rate_limit(context);
+        }
+    }
+
+    /// Records an announcement; what a former start said does not apply to another one.
+    pub(super) fn record_announcement(
+        &mut self,
+        context: &mut Context<'_>,
+        announcement: &Announcement,
+    ) {
+        let before = self.condition.condition().rate_limit;
+        let now_us = context.now_us();
+        self.condition.record_announcement(now_us, announcement);
+        if self.condition.condition().rate_limit != before {
+            self.apply_rate_limit(context);
+        }
+    }
+
+    fn apply_rate_limit(&mut self, context: &mut Context<'_>) {
+        let now_us = context.now_us();
+        let rate_limit = self.condition.condition().rate_limit;
+        if let Some(admission) = context.find::<Admission>(admission::NAME) {
+            admission.set_rate_limit(now_us, rate_limit);
+        }
+        self.set_release_timer(context);
     }
 
     fn log_condition_change(
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -160,7 +160,7 @@
         let Some(admission) = context.find::<Admission>(admission::NAME) else {
             return;
         };
-        let Some(release_us) = admission.next_queue_update_us() else {
+        let Some(release_us) = admission.next_queue_update_us(now_us) else {
             return;
         };
         let release_us = release_us.max(now_us);
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -179,7 +179,7 @@
         let mut load = LoadReport::default();
         let mut pressure = 0.0;
         if let Some(admission) = context.find::<Admission>(admission::NAME) {
-            load = admission.load();
+            load = admission.load(now_us);
             pressure = admission.pressure(now_us);
         }
         if let Some(route) = route
--- a/src/host.rs
+++ b/src/host.rs
@@ -203,6 +203,11 @@
         runtime.spawn(async move { node.submit(input) });
     }
 
+    /// Returns the time on the node's clock.
+    pub fn now_us(&self) -> u64 {
+        self.adapters.clock.now_us()
+    }
+
     /// Returns the sink for counters and latencies.
     pub fn metrics(&self) -> &dyn MetricSink {
         self.adapters.metrics.as_ref()
--- a/src/host/operator.rs
+++ b/src/host/operator.rs
@@ -122,6 +122,7 @@
 
     /// Collects the status from the services of the node.
     pub fn status(&self) -> Status {
+        let now_us = self.node.now_us();
         self.node.inspect(|kernel| {
             let membership = kernel.find::<Membership>(membership::NAME);
             let own = membership
@@ -145,7 +146,7 @@
                 target,
                 load: kernel
                     .find::<Admission>(admission::NAME)
-                    .map_or_else(LoadReport::default, |admission| admission.load()),
+                    .map_or_else(LoadReport::default, |admission| admission.load(now_us)),
                 calls,
             }
         })
--- a/src/request.rs
+++ b/src/request.rs
@@ -179,7 +179,8 @@
     pub threshold: Rank,
     /// The number of requests at the target.
     pub in_flight: u32,
-    /// The maximum number of concurrent requests that the guard sends to the target.
+    /// The maximum number of concurrent requests that the guard sends to the target; fewer if the
+    /// target names a rate limit.
     pub limit: u32,
     /// The number of requests queued at the guard.
     pub queued: u32,
@@ -189,6 +190,8 @@
     pub service_us: u32,
     /// The pressure on the route of the call, in thousandths.
     pub pressure_permille: u16,
+    /// The time until the target's rate limit lets a call start that arrives now; 0 without a limit.
+    pub rate_wait_us: u32,
 }
 
 /// The order in which requests are shed: the lowest rank first.
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -60,6 +60,8 @@
     RefusalReason {
         /// The queue was full, or a more important request displaced this one.
         Overload => "overload",
+        /// The target names a rate limit, and the queue is full of requests that wait for it.
+        RateLimit => "rate_limit",
         /// An entry daemon refused the request because the guard's threshold would refuse it.
         Threshold => "threshold",
         /// The request could not finish before its deadline.
--- a/tests/admission.rs
+++ b/tests/admission.rs
@@ -102,7 +102,7 @@
             arrival(call, rank(Priority::Normal, root_rank), FAR_DEADLINE_US),
         );
     }
-    assert_eq!(admission.load().threshold, rank(Priority::Normal, 6));
+    assert_eq!(admission.load(0).threshold, rank(Priority::Normal, 6));
     let lower = admission.offer(
         SERVICE_US,
         arrival(3, rank(Priority::Normal, 5), FAR_DEADLINE_US),
@@ -194,14 +194,14 @@
     fill(&mut admission, 1);
     let deadline_us = 4 * SERVICE_US;
     admission.offer(SERVICE_US, arrival(1, rank(Priority::High, 0), deadline_us));
-    let expiry_us = admission.next_queue_update_us().unwrap();
+    let expiry_us = admission.next_queue_update_us(0).unwrap();
     assert_eq!(expiry_us, 3 * SERVICE_US);
     assert_eq!(admission.update_queue(expiry_us - 1).evicted, []);
     let evicted = admission.update_queue(expiry_us).evicted;
     assert_eq!(evicted[0].call, CallKey(1));
     assert_eq!(evicted[0].refusal.reason, RefusalReason::Deadline);
     assert!(!evicted[0].refusal.is_other_target_worthwhile);
-    assert_eq!(admission.next_queue_update_us(), None);
+    assert_eq!(admission.next_queue_update_us(0), None);
 }
 
 #[test]
@@ -228,7 +228,7 @@
         admission.cancel(SERVICE_US, CallKey(77)),
         CancelOutcome::Unknown
     );
-    assert_eq!(admission.load().in_flight, 1);
+    assert_eq!(admission.load(0).in_flight, 1);
     let dequeued = admission.finish(SERVICE_US, CallKey(100), CallOutcome::Cancelled);
     assert_eq!(dequeued.started, [CallKey(2)]);
 }
@@ -242,7 +242,7 @@
         arrival(1, rank(Priority::Normal, 0), FAR_DEADLINE_US),
     );
     admission.set_slots(SERVICE_US, 2);
-    assert!(admission.next_queue_update_us().unwrap() <= SERVICE_US);
+    assert!(admission.next_queue_update_us(0).unwrap() <= SERVICE_US);
     assert_eq!(admission.update_queue(SERVICE_US).started, [CallKey(1)]);
 }
 
@@ -260,7 +260,7 @@
     for call in 100..1_100 {
         admission.finish(2 * SERVICE_US, CallKey(call), CallOutcome::Answered);
     }
-    assert_eq!(admission.load().in_flight, 0);
+    assert_eq!(admission.load(0).in_flight, 0);
 }
 
 #[test]
@@ -356,7 +356,7 @@
     }
 
     fn check(&self, admission: &Admission) {
-        let load = admission.load();
+        let load = admission.load(0);
         assert_eq!(load.in_flight as usize, self.running.len());
         assert_eq!(load.queued as usize, self.queued.len());
         assert!(load.in_flight <= load.limit);
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -37,6 +37,7 @@
         queued: 0,
         is_leaving: false,
         pressure_permille: 0,
+        rate_wait_us: 0,
         service_us: 0,
     }
 }
--- a/tests/support/policy_simulation.rs
+++ b/tests/support/policy_simulation.rs
@@ -573,7 +573,7 @@
     fn reply(&mut self, call: usize, outcome: AttemptOutcome, is_other_target_worthwhile: bool) {
         let target = self.calls[call].target;
         let load = match &self.guards[target] {
-            Guard::Adaptive(admission) => Some(admission.load()),
+            Guard::Adaptive(admission) => Some(admission.load(self.now_us)),
             Guard::Fixed { .. } => None,
         };
         let event = Event::ReplyArrives {
@@ -689,7 +689,7 @@
 
     fn schedule_queue_update(&mut self, target: usize) {
         if let Guard::Adaptive(admission) = &self.guards[target]
-            && let Some(at_us) = admission.next_queue_update_us()
+            && let Some(at_us) = admission.next_queue_update_us(self.now_us)
         {
             self.schedule(
                 at_us.saturating_sub(self.now_us),
@@ -702,7 +702,7 @@
         let now_us = self.now_us;
         if let Guard::Adaptive(admission) = &mut self.guards[target]
             && admission
-                .next_queue_update_us()
+                .next_queue_update_us(now_us)
                 .is_some_and(|at| at <= now_us)
         {
             let dequeued = admission.update_queue(now_us);
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -147,6 +147,7 @@
     queued: 0,
     is_leaving: false,
     pressure_permille: 0,
+    rate_wait_us: 0,
     service_us: 0,
 };
 
