Send nothing new to a target whose answers say that it leaves

What callers saw: nothing; the target got new requests until its own report, which some send late or never. Cause: the same as for the limit: what a target says of itself in its answers ended at the border. Change: the guard treats such an answer like an acknowledged departure, at once, before the answer goes on; the host remembers it (DepartureSink): the sidecar as a departure in the table's row, the daemon against later announcements.

--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -157,10 +157,11 @@
 
     /// Returns whether the target accepts no new work because it drains or the daemon stops.
     pub fn is_leaving(&self) -> bool {
+        let said_leaving = self.condition.condition().is_leaving;
         let is_draining = self
             .target
             .as_ref()
-            .is_some_and(|target| target.is_draining);
+            .is_some_and(|target| target.is_draining || said_leaving);
         is_draining || self.planned_stop.is_stopping()
     }
 
--- a/src/calls/guard/condition.rs
+++ b/src/calls/guard/condition.rs
@@ -3,7 +3,7 @@
 use super::Guard;
 use crate::admission::{self, Admission};
 use crate::ids::CallKey;
-use crate::kernel::{Context, StateChange};
+use crate::kernel::{Context, Effect, StateChange};
 use crate::metrics::{Counter, Gauge};
 use crate::target::{
     Announcement, AnswerSignals, ConditionChange, RateLimitSignal, RateLimitState,
@@ -29,9 +29,18 @@
         let now_us = context.now_us();
         let change = self.condition.record_signals(now_us, sent_us, signals);
         self.log_condition_change(context, change, &source);
+        self.apply_condition_change(context, change);
+    }
+
+    fn apply_condition_change(&mut self, context: &mut Context<'_>, change: ConditionChange) {
         if change.is_rate_limit_changed {
             self.apply_rate_limit(context);
         }
+        if change.has_begun_to_leave {
+            let start = self.condition.condition().start.clone();
+            context.emit(Effect::RecordDeparture(start));
+            self.update_leaving(context);
+        }
     }
 
     /// Records an announcement; what a former start said does not apply to another one.
--- a/src/host.rs
+++ b/src/host.rs
@@ -40,7 +40,7 @@
 use crate::routes::RouteSource;
 use crate::sorted::SortedMap;
 use crate::table::{BoxFuture, ObjectStore, TableStore};
-use crate::target::{Announcement, AnswerSignals};
+use crate::target::{Announcement, AnswerSignals, TargetStart};
 use decisions::DecisionLog;
 use send_permit::SendPermit;
 
@@ -76,6 +76,12 @@
     fn handle_announcement(&self, _announcement: &Announcement) {}
 }
 
+/// Remembers which starts of the target said in their answers that they are leaving.
+pub trait DepartureSink: Send + Sync {
+    /// Records the departure of a start.
+    fn record(&self, start: TargetStart);
+}
+
 /// A request for the target beside the daemon.
 #[derive(Clone, Debug)]
 pub struct TargetRequest {
@@ -115,6 +121,8 @@
     pub peers: Box<dyn PeerTransport>,
     /// The transport for requests to the target.
     pub target: Arc<dyn TargetTransport>,
+    /// The memory of the target's departures.
+    pub departures: Box<dyn DepartureSink>,
     /// The table of the platform.
     pub table: Box<dyn TableStore>,
     /// The object store of the platform.
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -219,7 +219,8 @@
             body_bytes_max,
             ..PeerLimits::default()
         })),
-        target,
+        target: target.clone(),
+        departures: Box::new(target),
         table: Box::new(platform.clone()),
         objects: Box::new(platform),
         routes: Box::new(NoRouteSource),
--- a/src/host/effects.rs
+++ b/src/host/effects.rs
@@ -95,6 +95,7 @@
                 self.decisions
                     .write(self.adapters.clock.now_us(), &decision);
             }
+            Effect::RecordDeparture(start) => self.adapters.departures.record(start),
             Effect::ReadyToExit => self.stopped.notify_one(),
         }
     }
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -14,7 +14,7 @@
 
 use rand::Rng;
 use tokio::net::TcpListener;
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 use tokio::task::AbortHandle;
 
 use super::caller::{CallCodec, CallerLimits, CallerServer};
@@ -107,6 +107,7 @@
         let caller_listener = bind(settings.node.caller_address).await?;
         let peer_listener = bind(settings.node.peer_address).await?;
         let (codec, target) = (adapters.codec, Arc::clone(&adapters.target));
+        let (departures, new_departures) = mpsc::unbounded_channel();
         let node_adapters = NodeAdapters {
             clock: Box::new(MonotonicClock::default()),
             peers: Box::new(PeerLinks::new(PeerLimits {
@@ -117,6 +118,7 @@
                 ..PeerLimits::default()
             })),
             target: adapters.target,
+            departures: Box::new(departures),
             table: adapters.table,
             objects: adapters.objects,
             routes: adapters.routes,
@@ -147,6 +149,8 @@
             tasks: Mutex::default(),
         });
         sidecar.spawn_tasks(caller_listener, peer_listener);
+        let record = Arc::clone(&sidecar.target).record_departures(new_departures);
+        lock(&sidecar.tasks).push(tokio::spawn(record).abort_handle());
         sidecar.node.start();
         Ok(sidecar)
     }
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -4,13 +4,13 @@
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
-use tokio::sync::{Notify, watch};
+use tokio::sync::{Notify, mpsc, watch};
 
-use crate::host::{Clock, MonotonicClock, Node, TargetTransport, lock};
+use crate::host::{Clock, DepartureSink, MonotonicClock, Node, TargetTransport, lock};
 use crate::ids::{InstanceId, ServiceName};
 use crate::kernel::{Input, Notice};
 use crate::routes::{self, Routes};
-use crate::target::{Announcement, ReportOutcome, TargetReport, TargetWatch};
+use crate::target::{Announcement, ReportOutcome, TargetReport, TargetStart, TargetWatch};
 
 /// How often the sidecar checks that the target still reports.
 const TARGET_CHECK_PERIOD: Duration = Duration::from_millis(500);
@@ -61,6 +61,14 @@
     pub(super) departure_recorded: Notify,
 }
 
+impl DepartureSink for mpsc::UnboundedSender<TargetStart> {
+    fn record(&self, start: TargetStart) {
+        if self.send(start).is_err() {
+            log::debug!(target: "dragonflylug", "a departure was not recorded: the sidecar stops");
+        }
+    }
+}
+
 impl TargetTracker {
     pub(super) fn new(
         settings: TargetSettings,
@@ -81,6 +89,19 @@
         })
     }
 
+    /// Records the departures that the target announced in its answers, until the task is aborted.
+    pub(super) async fn record_departures(
+        self: Arc<Self>,
+        mut departures: mpsc::UnboundedReceiver<TargetStart>,
+    ) {
+        while let Some(start) = departures.recv().await {
+            let Some(instance) = start.instance else {
+                continue;
+            };
+            self.record_departure(&instance, start.started_at_ms).await;
+        }
+    }
+
     /// Records a report of the target and returns what it changed. If it says that the target is
     /// leaving, new work stops immediately, and the future waits for a bounded time until that is
     /// stored.
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -1,6 +1,6 @@
 //! The HTTP client of the target beside the daemon.
 
-use std::sync::Mutex;
+use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
@@ -11,12 +11,14 @@
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
-use super::{Clock, MonotonicClock, TargetReply, TargetRequest, TargetTransport, http, lock};
+use super::{
+    Clock, DepartureSink, MonotonicClock, TargetReply, TargetRequest, TargetTransport, http, lock,
+};
 use crate::headers;
 use crate::kernel::TargetOutcome;
 use crate::request::{Answer, HttpRequest};
 use crate::table::BoxFuture;
-use crate::target::{Announcement, AnswerSignals, Departures, RateLimitSignal};
+use crate::target::{Announcement, AnswerSignals, Departures, RateLimitSignal, TargetStart};
 
 /// How long an idle connection to the target is kept open.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
@@ -142,6 +144,16 @@
     }
 }
 
+impl DepartureSink for Arc<TargetClient> {
+    fn record(&self, start: TargetStart) {
+        let now_us = self.clock.now_us();
+        if let Some(instance) = &start.instance {
+            let mut announcements = lock(&self.announcements);
+            announcements.departures.record(now_us, instance, None);
+        }
+    }
+}
+
 impl TargetTransport for TargetClient {
     fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetReply> {
         Box::pin(async move {
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -13,7 +13,7 @@
 use crate::request::HttpRequest;
 use crate::routes::RouteTable;
 use crate::table::{ObjectRequest, TableRequest};
-use crate::target::Announcement;
+use crate::target::{Announcement, TargetStart};
 use crate::verdict::Verdict;
 
 /// An action for the host to carry out.
@@ -114,6 +114,8 @@
     LogStateChange(StateChange),
     /// Log a decision on a request.
     LogDecision(Box<Decision>),
+    /// Remember that a start of the target said that it is leaving, also in later processes.
+    RecordDeparture(TargetStart),
     /// The graceful shutdown is complete: the node has nothing in flight, so the process may exit.
     ReadyToExit,
 }
--- a/src/target/condition.rs
+++ b/src/target/condition.rs
@@ -86,7 +86,7 @@
             instance: announcement.instance.clone(),
             started_at_ms: announcement.started_at_ms,
         };
-        if !self.condition.start.may_be(&start) {
+        if self.is_other_start(&start, announcement.is_draining) {
             *self = Self {
                 since_us: now_us,
                 limited_at_us: now_us,
@@ -103,6 +103,15 @@
         };
     }
 
+    /// Returns whether a start is certainly not the current one. A start whose time was not known and
+    /// that left is not the one that is announced as ready, as a departure is never taken back.
+    fn is_other_start(&self, start: &TargetStart, is_draining: bool) -> bool {
+        let current = &self.condition.start;
+        let is_later_start = current.started_at_ms.is_none() && start.started_at_ms.is_some();
+        let has_left = self.condition.is_leaving && !is_draining;
+        !current.may_be(start) || (is_later_start && has_left)
+    }
+
     /// Records what an answer to a request said that was sent at `sent_us`.
     ///
     /// An answer without a limit lifts one only if its request was sent after the latest answer that
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -22,7 +22,7 @@
 use dragonflylug::table::{
     Expected, ObjectRequest, ObjectResponse, PlatformError, Row, TableRequest, TableResponse,
 };
-use dragonflylug::target::AnswerSignals;
+use dragonflylug::target::{AnswerSignals, TargetStart};
 use dragonflylug::verdict::Verdict;
 
 /// Returns the outcome of a request that reaches a fake target at a time, and how long it takes.
@@ -65,6 +65,8 @@
     pub operator_replies: Vec<(CallKey, OperatorReply)>,
     pub counters: SortedMap<Counter, u64>,
     pub is_stopped: bool,
+    /// The departures that the guard passed on to be remembered.
+    pub departures: Vec<TargetStart>,
     /// The requests that were sent to the target, with their times. A target that makes child calls
     /// also records those whose outcome is `NotSent`.
     pub runs: Vec<(u64, HttpRequest)>,
@@ -189,6 +191,7 @@
             operator_replies: Vec::new(),
             counters: SortedMap::default(),
             is_stopped: false,
+            departures: Vec::new(),
             runs: Vec::new(),
             child_calls: Vec::new(),
             parent_runs: SortedMap::default(),
@@ -478,6 +481,7 @@
                 *self.nodes[node].counters.get_or_insert_with(counter, || 0) += by;
             }
             Effect::LogStateChange(change) => self.nodes[node].log.push(change),
+            Effect::RecordDeparture(start) => self.nodes[node].departures.push(start),
             Effect::Set(..) | Effect::Observe(..) => {}
             Effect::LogDecision(decision) => self.nodes[node].decisions.push(*decision),
             Effect::ReadyToExit => self.nodes[node].is_stopped = true,
--- a/tests/support/sized_answers.rs
+++ b/tests/support/sized_answers.rs
@@ -86,10 +86,12 @@
     let mut kernel = Kernel::new(1);
     kernel.register(Box::new(SizedAnswerService));
     let platform = PlatformClient::new("http://127.0.0.1:1", REQUEST_TIMEOUT);
+    let target = Arc::new(TargetClient::default());
     let adapters = NodeAdapters {
+        departures: Box::new(Arc::clone(&target)),
         clock: Box::new(MonotonicClock::default()),
         peers: Box::new(PeerLinks::new(PeerLimits::default())),
-        target: Arc::new(TargetClient::default()),
+        target,
         table: Box::new(platform.clone()),
         objects: Box::new(platform),
         routes: Box::new(NoRouteSource),
--- a/tests/target_condition.rs
+++ b/tests/target_condition.rs
@@ -141,3 +141,22 @@
     tracker.record_signals(3_000, 2_500, signals(RateLimitSignal::Unlimited));
     assert!(tracker.condition().is_leaving);
 }
+
+#[test]
+fn restart_under_the_same_identifier_is_taken_for_the_start_that_said_it_leaves() {
+    let mut tracker = ConditionTracker::default();
+    tracker.record_announcement(0, &announcement("i-1", None));
+    let leaving = AnswerSignals {
+        is_leaving: true,
+        ..AnswerSignals::default()
+    };
+    tracker.record_signals(1_000, 500, leaving);
+    let draining = Announcement {
+        is_draining: true,
+        ..announcement("i-1", Some(7))
+    };
+    tracker.record_announcement(2_000, &draining);
+    assert!(tracker.condition().is_leaving);
+    tracker.record_announcement(3_000, &announcement("i-1", Some(8)));
+    assert!(!tracker.condition().is_leaving);
+}
