Let entry daemons tell a restarted guard what they were told of its target

What callers saw: nothing; a target whose sidecar was killed got more than its limit again, and new requests after its answers had said that it leaves. Cause: what a guard knew of its target's answers ended with its process; the daemons that had passed those answers on stay bound, and the table can be away. Change: an entry keeps the condition of each target that names a limit or leaves, by the address of its guard, and sends it with each call until a reply of the guard says otherwise. The guard applies it before it admits the call, unless an answer told it better. So no request of a daemon that was told can pass a guard that was not, without the store and without gossip; replies of ordinary targets carry nothing more. Weighed: a row in the table as for departures (away at times, and a write for each change of a limit), a careful start of each guard until its first answer (costs every restart).

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -3,6 +3,7 @@
 mod attempt;
 mod deferred;
 mod finish;
+mod known_conditions;
 mod plan;
 mod response;
 mod retries;
@@ -11,6 +12,8 @@
 
 pub use shed::jittered_retry_after_ms;
 
+use std::net::SocketAddr;
+
 use macro_rules_attribute::apply;
 use rand::RngExt;
 
@@ -26,6 +29,7 @@
 use crate::sorted::SortedMap;
 use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
 use deferred::{DEFER_TIMER_TAG, DeferredCalls};
+use known_conditions::KnownConditions;
 use plan::Plan;
 use tickets::TicketStock;
 
@@ -82,6 +86,7 @@
     outbound: SortedMap<OutboundKey, CallKey>,
     tickets: TicketStock,
     deferred: DeferredCalls,
+    known_conditions: KnownConditions,
     stopping_since_us: Option<u64>,
 }
 
@@ -119,6 +124,7 @@
 struct PendingRequest {
     outbound_key: OutboundKey,
     member: MemberId,
+    address: SocketAddr,
     sent_us: u64,
     retries_granted: u32,
     purpose: Purpose,
@@ -165,6 +171,7 @@
             outbound: SortedMap::default(),
             tickets: TicketStock::default(),
             deferred: DeferredCalls::default(),
+            known_conditions: KnownConditions::default(),
             stopping_since_us: None,
         }
     }
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -57,6 +57,7 @@
         };
         let left_us = call.plan.deadline_us.saturating_sub(now_us);
         let retries_granted = call.grant_retries();
+        let known_condition = self.known_conditions.get(choice.address).cloned();
         let peer_call = PeerCall {
             from: self.own_id,
             service: call.request.service.clone(),
@@ -72,6 +73,7 @@
             trace_id: call.trace_id(),
             route: call.route(),
             is_repeat: call.counts_as_repeat,
+            known_condition,
             http: call.request.http.clone(),
         };
         call.was_sent = true;
@@ -86,6 +88,7 @@
         let pending = PendingRequest {
             outbound_key,
             member: choice.member,
+            address: choice.address,
             sent_us: now_us,
             retries_granted,
             purpose: Purpose::Call,
--- a/src/calls/entry/response.rs
+++ b/src/calls/entry/response.rs
@@ -50,6 +50,10 @@
         reply: PeerReply,
     ) {
         fetch_config_if_newer(context, reply.config_version, pending.member);
+        if let Some(condition) = &reply.condition {
+            self.known_conditions
+                .record(pending.address, pending.member, condition);
+        }
         let mut verdict = reply.verdict;
         let mut outcome = AttemptOutcome::from_verdict(&verdict, reply.has_failed_child);
         if let Verdict::Ran(answer) = &verdict
--- a/src/calls/entry/tickets.rs
+++ b/src/calls/entry/tickets.rs
@@ -163,10 +163,10 @@
         };
         let peer_request = PeerRequest::Tickets(request);
         let outbound_key = self.send_peer_request(context, choice, peer_request, left_us);
-        let member = choice.member;
         let pending = PendingRequest {
             outbound_key,
-            member,
+            member: choice.member,
+            address: choice.address,
             sent_us,
             retries_granted: 0,
             purpose: Purpose::Tickets,
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -168,6 +168,7 @@
     /// Registers a call of an entry daemon and starts it, or replies to it at once.
     fn handle_call(&mut self, context: &mut Context<'_>, inbound: InboundKey, call: PeerCall) {
         fetch_config_if_newer(context, &call);
+        self.inherit_condition(context, &call);
         let key = CallKey(context.new_key());
         let deadline_us = context.now_us() + u64::from(call.deadline_left_ms) * 1_000;
         let allowance = Allowance::new(call.retries);
--- a/src/calls/guard/condition.rs
+++ b/src/calls/guard/condition.rs
@@ -1,12 +1,13 @@
 //! Applies what the target says of itself in its answers.
 
-use super::Guard;
+use super::{Guard, GuardCall};
 use crate::admission::{self, Admission};
 use crate::ids::CallKey;
 use crate::kernel::{Context, Effect, StateChange};
 use crate::metrics::{Counter, Gauge};
+use crate::request::PeerCall;
 use crate::target::{
-    Announcement, AnswerSignals, ConditionChange, RateLimitSignal, RateLimitState,
+    Announcement, AnswerSignals, ConditionChange, RateLimitSignal, RateLimitState, TargetCondition,
 };
 
 impl Guard {
@@ -32,6 +33,32 @@
         self.apply_condition_change(context, change);
     }
 
+    /// Records what an entry daemon was told of the target, maybe by a former process of this one.
+    pub(super) fn inherit_condition(&mut self, context: &mut Context<'_>, call: &PeerCall) {
+        let Some(known) = call
+            .known_condition
+            .as_ref()
+            .filter(|_| self.target.is_some())
+        else {
+            return;
+        };
+        let change = self.condition.inherit(context.now_us(), known);
+        let source = format!("told by daemon {:016x}", call.from.0);
+        self.log_condition_change(context, change, &source);
+        self.apply_condition_change(context, change);
+    }
+
+    /// Returns the condition to report with the reply to a call: it is left out if neither this
+    /// daemon nor the entry daemon knows of anything special.
+    pub(super) fn reported_condition(&self, guard_call: &GuardCall) -> Option<TargetCondition> {
+        let condition = self.condition.condition();
+        let is_expected = guard_call.peer_call.known_condition.is_some();
+        if condition.is_ordinary() && !is_expected {
+            return None;
+        }
+        Some(condition.clone())
+    }
+
     fn apply_condition_change(&mut self, context: &mut Context<'_>, change: ConditionChange) {
         if change.is_rate_limit_changed {
             self.apply_rate_limit(context);
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -116,6 +116,7 @@
             holder: guard_call.holder,
             load,
             config_version: calls::config_version(context),
+            condition: self.reported_condition(&guard_call),
         };
         context.respond(guard_call.inbound, PeerResponse::Call(Box::new(reply)));
     }
--- a/src/request.rs
+++ b/src/request.rs
@@ -7,6 +7,7 @@
 use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, RouteName, ServiceName, TraceId};
 use crate::routes::RouteTerms;
 use crate::run_once::{ClaimHolder, Ticket};
+use crate::target::TargetCondition;
 
 /// An HTTP header that is forwarded.
 #[apply(message!)]
@@ -156,6 +157,8 @@
     /// Whether an attempt of the request spent a retry, so that a target may have run it before, or
     /// the call is attributed to a repeat that runs at the target beside the entry daemon.
     pub is_repeat: bool,
+    /// What the entry daemon was told of the target, unless that is nothing special.
+    pub known_condition: Option<TargetCondition>,
     /// The request for the target.
     pub http: HttpRequest,
 }
@@ -247,4 +250,7 @@
     pub load: LoadReport,
     /// The guard's configuration version.
     pub config_version: u64,
+    /// What the target has said of itself in its answers, unless neither the guard nor the entry
+    /// daemon knows of anything special.
+    pub condition: Option<TargetCondition>,
 }
--- a/src/target/condition.rs
+++ b/src/target/condition.rs
@@ -20,6 +20,16 @@
     Limited(RequestRate),
 }
 
+impl RateLimitState {
+    /// Returns whether the target is not known to accept only this rate or less.
+    fn is_above(self, rate: RequestRate) -> bool {
+        match self {
+            Self::Limited(known) => known > rate,
+            Self::Unknown | Self::Unlimited => true,
+        }
+    }
+}
+
 /// A start of a target.
 #[apply(message!)]
 #[derive(Default)]
@@ -55,6 +65,21 @@
     pub revision: u64,
 }
 
+impl TargetCondition {
+    /// Returns whether the target neither names a rate limit nor leaves.
+    pub fn is_ordinary(&self) -> bool {
+        !self.is_leaving && !matches!(self.rate_limit, RateLimitState::Limited(_))
+    }
+
+    /// Adds what an earlier report of the same start said and this one does not know.
+    pub fn add_unknown_from(&mut self, earlier: &Self) {
+        self.is_leaving |= earlier.is_leaving;
+        if self.rate_limit == RateLimitState::Unknown {
+            self.rate_limit = earlier.rate_limit;
+        }
+    }
+}
+
 /// What an answer changed.
 #[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
 pub struct ConditionChange {
@@ -70,6 +95,8 @@
     condition: TargetCondition,
     /// Since when the start is the current one.
     since_us: u64,
+    /// Whether an answer to this daemon said what the rate limit is.
+    is_rate_observed: bool,
     /// When the latest answer that named a limit arrived.
     limited_at_us: u64,
 }
@@ -90,6 +117,7 @@
             *self = Self {
                 since_us: now_us,
                 limited_at_us: now_us,
+                is_rate_observed: false,
                 condition: TargetCondition {
                     revision: self.condition.revision + 1,
                     ..TargetCondition::default()
@@ -130,9 +158,11 @@
             RateLimitSignal::Limited(rate) => {
                 self.limited_at_us = now_us;
                 self.condition.rate_limit = RateLimitState::Limited(rate);
+                self.is_rate_observed = true;
             }
             RateLimitSignal::Unlimited if sent_us > self.limited_at_us => {
                 self.condition.rate_limit = RateLimitState::Unlimited;
+                self.is_rate_observed = true;
             }
             _ => {}
         }
@@ -140,6 +170,28 @@
         self.change_since(before)
     }
 
+    /// Records what another daemon was told of this start, unless an answer to this daemon said
+    /// otherwise. Of several limits the lowest counts, as it is not known which one is the latest.
+    pub fn inherit(&mut self, now_us: u64, known: &TargetCondition) -> ConditionChange {
+        if !self.condition.start.may_be(&known.start) {
+            return ConditionChange::default();
+        }
+        let before = (self.condition.rate_limit, self.condition.is_leaving);
+        if let RateLimitState::Limited(rate) = known.rate_limit
+            && !self.is_rate_observed
+            && self.condition.rate_limit.is_above(rate)
+        {
+            self.condition.rate_limit = RateLimitState::Limited(rate);
+            self.limited_at_us = now_us;
+        }
+        if known.is_leaving {
+            self.condition.is_leaving = true;
+            let started_at_ms = self.condition.start.started_at_ms;
+            self.condition.start.started_at_ms = started_at_ms.or(known.start.started_at_ms);
+        }
+        self.change_since(before)
+    }
+
     fn change_since(&mut self, before: (RateLimitState, bool)) -> ConditionChange {
         let change = ConditionChange {
             is_rate_limit_changed: before.0 != self.condition.rate_limit,
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -102,6 +102,7 @@
             trace_id: None,
             route: None,
             is_repeat: false,
+            known_condition: None,
             http: request.http.clone(),
         };
         let request = PeerRequest::Call(Box::new(peer));
@@ -126,6 +127,7 @@
                 holder: None,
                 load: LOAD,
                 config_version: 0,
+                condition: None,
             };
             context.respond(inbound, PeerResponse::Call(Box::new(reply)));
             return;
--- a/tests/support/sized_answers.rs
+++ b/tests/support/sized_answers.rs
@@ -50,6 +50,7 @@
             holder: None,
             load: LoadReport::default(),
             config_version: 0,
+            condition: None,
         };
         context.respond(inbound, PeerResponse::Call(Box::new(reply)));
     }
@@ -72,6 +73,7 @@
         trace_id: None,
         route: None,
         is_repeat: false,
+        known_condition: None,
         http: HttpRequest {
             method: "GET".to_string(),
             path: format!("/{bytes}"),
--- a/tests/target_condition.rs
+++ b/tests/target_condition.rs
@@ -7,6 +7,7 @@
 
 use dragonflylug::target::{
     Announcement, AnswerSignals, ConditionTracker, RateLimitSignal, RateLimitState, RequestRate,
+    TargetCondition, TargetStart,
 };
 
 fn rate(text: &str) -> RequestRate {
@@ -160,3 +161,62 @@
     tracker.record_announcement(3_000, &announcement("i-1", Some(8)));
     assert!(!tracker.condition().is_leaving);
 }
+
+/// Returns the condition of a start that names a limit.
+fn known(started_at_ms: Option<u64>, per_s: &str) -> TargetCondition {
+    TargetCondition {
+        start: TargetStart {
+            instance: Some("i-1".into()),
+            started_at_ms,
+        },
+        rate_limit: RateLimitState::Limited(rate(per_s)),
+        is_leaving: false,
+        revision: 1,
+    }
+}
+
+/// Returns the tracker of a guard that restarted beside a target.
+fn restarted_tracker() -> ConditionTracker {
+    let mut tracker = ConditionTracker::default();
+    tracker.record_announcement(0, &announcement("i-1", Some(7)));
+    tracker
+}
+
+#[test]
+fn restarted_guard_takes_the_higher_of_two_limits_that_entries_were_told() {
+    let mut tracker = restarted_tracker();
+    tracker.inherit(1_000, &known(Some(7), "20"));
+    tracker.inherit(2_000, &known(Some(7), "8.4"));
+    tracker.inherit(3_000, &known(Some(7), "20"));
+    assert!(is_limited(&tracker));
+}
+
+#[test]
+fn restarted_guard_is_limited_by_what_a_former_start_said() {
+    let mut tracker = restarted_tracker();
+    tracker.inherit(1_000, &known(Some(6), "8.4"));
+    let leaving = TargetCondition {
+        is_leaving: true,
+        ..known(Some(6), "8.4")
+    };
+    tracker.inherit(1_000, &leaving);
+    assert!(tracker.condition().is_ordinary());
+}
+
+#[test]
+fn old_knowledge_of_an_entry_limits_a_target_whose_answers_name_no_limit() {
+    let mut tracker = restarted_tracker();
+    tracker.inherit(1_000, &known(Some(7), "8.4"));
+    assert!(is_limited(&tracker));
+    tracker.record_signals(3_000, 2_000, signals(RateLimitSignal::Unlimited));
+    tracker.inherit(4_000, &known(Some(7), "8.4"));
+    assert!(tracker.condition().is_ordinary());
+}
+
+#[test]
+fn answer_to_a_request_from_before_the_inherited_limit_lifts_it() {
+    let mut tracker = restarted_tracker();
+    tracker.inherit(2_000, &known(Some(7), "8.4"));
+    tracker.record_signals(3_000, 1_000, signals(RateLimitSignal::Unlimited));
+    assert!(is_limited(&tracker));
+}
