Choose targets by the wait for their rate limit

What callers saw: requests handed to a target that could not start them, while others had room. Cause: an entry knew slots and queues only; a target at its limit with free slots looked idle. Change: the wait that guards report counts in the cost, makes a zone spill over, keeps the threshold of a paced queue valid for as long as that wait, and sets the retry-after time of a refusal without candidates. Evidence: target_at_its_rate_limit_is_chosen_although_another_zone_has_room and target_whose_rate_limit_keeps_its_queue_full_is_tried_every_200_ms (they need the reported wait; without the change the own zone is chosen, and the full queue is tried after 200 ms).

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -180,8 +180,10 @@
     }
 
     fn has_room(&self, key: TargetKey) -> bool {
-        let load_percent = self.targets[key].load(self.now_us, self.settings) * 100.0;
-        load_percent <= f64::from(self.settings.zone_spill_percent)
+        let target = &self.targets[key];
+        let load_percent = target.load(self.now_us, self.settings) * 100.0;
+        target.rate_wait_us(self.now_us) == 0
+            && load_percent <= f64::from(self.settings.zone_spill_percent)
     }
 
     fn better_of_two(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<TargetKey> {
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -200,10 +200,21 @@
         let Some(report) = &self.report else {
             return false;
         };
-        let max_age_us = u64::from(settings.threshold_fresh_ms) * 1_000;
+        let fresh_us = u64::from(settings.threshold_fresh_ms) * 1_000;
+        let max_age_us = fresh_us.max(u64::from(report.load.rate_wait_us));
         now_us.saturating_sub(report.received_us) <= max_age_us && rank < report.load.threshold
     }
 
+    /// Returns the time until the target's rate limit lets a further request start, by the last
+    /// report; 0 without a limit.
+    pub(super) fn rate_wait_us(&self, now_us: u64) -> u64 {
+        let Some(report) = &self.report else {
+            return 0;
+        };
+        let age_us = now_us.saturating_sub(report.received_us);
+        u64::from(report.load.rate_wait_us).saturating_sub(age_us)
+    }
+
     /// Returns the expected load after one more request, as a share of the limit.
     pub(super) fn load(&self, now_us: u64, settings: &RoutingSettings) -> f64 {
         let (reported, limit) = match &self.report {
@@ -223,7 +234,9 @@
     pub(super) fn cost(&self, now_us: u64, settings: &RoutingSettings) -> f64 {
         let success_share = self.health.success_share().max(SUCCESS_SHARE_FLOOR);
         let load = self.load(now_us, settings);
-        self.service_time_us(now_us) * (1.0 + load) / (success_share * success_share)
+        let time_us = self.service_time_us(now_us) * (1.0 + load);
+        let rate_wait_us = self.rate_wait_us(now_us) as f64;
+        (time_us + rate_wait_us) / (success_share * success_share)
     }
 
     /// Returns the number of slots, as the weight of the target in random picks.
@@ -232,13 +245,15 @@
     }
 
     /// Returns how long the queue at the guard takes to drain at the latency that this daemon
-    /// measured; 0 without a load report.
+    /// measured, or at the rate limit of the target; 0 without a load report.
     pub(super) fn drain_ms(&self, now_us: u64) -> u32 {
         let Some(report) = &self.report else {
             return 0;
         };
         let rounds = (f64::from(report.load.queued) + 1.0) / f64::from(report.load.limit.max(1));
-        (rounds * self.decayed_latency_us(now_us) / 1_000.0) as u32
+        let drain_ms = (rounds * self.decayed_latency_us(now_us) / 1_000.0) as u32;
+        let rate_wait_ms = self.rate_wait_us(now_us) / 1_000;
+        drain_ms.max(u32::try_from(rate_wait_ms).unwrap_or(u32::MAX))
     }
 
     /// Returns the service time of the target. The value that the guard reports is preferred to the
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -196,6 +196,41 @@
     assert_eq!(fixture.choice_counts(0)[2], 1_000);
 }
 
+/// The rate limit of the only target in the own zone leaves no room for a second.
+#[test]
+fn target_at_its_rate_limit_is_chosen_although_another_zone_has_room() {
+    let mut fixture = Fixture::new(&[
+        member(1, "a", MemberState::Alive),
+        member(2, "b", MemberState::Alive),
+    ]);
+    let now_us = 10 * SECOND_US;
+    let paced = LoadReport {
+        rate_wait_us: SECOND_US as u32,
+        ..report(Rank::MIN, 1)
+    };
+    fixture.record_outcome(now_us, 1, AttemptOutcome::Answered, Some(paced));
+    let room = report(Rank::MIN, 60);
+    fixture.record_outcome(now_us, 2, AttemptOutcome::Answered, Some(room));
+    assert_eq!(fixture.choice_counts(now_us)[2], 1_000);
+    let later_us = now_us + SECOND_US;
+    assert_eq!(fixture.choice_counts(later_us)[1], 1_000);
+}
+
+#[test]
+fn target_whose_rate_limit_keeps_its_queue_full_is_tried_every_200_ms() {
+    let mut fixture = Fixture::new(&[member(1, "a", MemberState::Alive)]);
+    let now_us = 10 * SECOND_US;
+    let paced = LoadReport {
+        rate_wait_us: 3 * SECOND_US as u32,
+        ..report(Rank::new(Priority::Critical, RootId(7)), 1)
+    };
+    fixture.record_outcome(now_us, 1, AttemptOutcome::Refused, Some(paced));
+    let tried = fixture.choice_counts(now_us + 2 * SECOND_US)[1];
+    assert!(tried < 50, "{tried} of 1000 requests");
+    let tried = fixture.choice_counts(now_us + 4 * SECOND_US)[1];
+    assert_eq!(tried, 1_000);
+}
+
 #[test]
 fn the_own_zone_is_preferred_while_it_has_room() {
     let mut fixture = Fixture::new(&[
