Shed at the guard what its entry daemon did not know to shed

What callers saw, in a simulation: with all four targets of a deep service limited to a quarter and twice the demand, no request at all was answered (0 of 1,000 that the limits allow; 503 of 506 urgent ones failed). Cause: pressure travels with replies. Under a limit each of a request's four calls waits for the full bound of the queue, all requests reach their deadline, no reply reaches the entry, so that nothing is ever shed: it cannot recover. Change: a call carries the pressure by which its entry decided; the guard sheds the share that is missing at the pressure that it knows, before anything ran.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -23,6 +23,7 @@
 use crate::derives::settings;
 use crate::ids::{CallKey, MemberId, OutboundKey};
 use crate::kernel::{Context, Event, Notice, Service};
+use crate::pressure::{self, ArrivingRequest, Pressures, ShedBasis};
 use crate::request::{CallRequest, RunKey};
 use crate::retry::{self, Allowance, ServiceBudgets};
 use crate::run_once;
@@ -113,6 +114,8 @@
     /// Whether guards count the attempts as repeats: a retry was spent, or the call was attributed
     /// to a repeat that runs at the target beside this daemon.
     counts_as_repeat: bool,
+    /// What decides whether the call is shed; `None` if it is never shed.
+    arriving: Option<ArrivingRequest>,
     was_sent: bool,
     /// The doubt of the latest attempt that may have run. Without a run key it takes precedence
     /// over a later refusal.
@@ -193,7 +196,8 @@
             request.is_from_target = may_come_from_target(context, &request);
         }
         let plan = Plan::new(context, &self.settings, &request);
-        if let Some(refusal) = self.find_early_refusal(context, &plan, &request) {
+        let arriving = self.classify_arrival(context, &plan, &request);
+        if let Some(refusal) = self.find_early_refusal(context, &plan, &request, arriving) {
             self.refuse_before_start(context, key, &request, refusal);
             return;
         }
@@ -220,6 +224,7 @@
             free_forwards: 0,
             free_placements: 0,
             counts_as_repeat,
+            arriving,
             was_sent: false,
             doubt: None,
         };
@@ -365,6 +370,19 @@
         });
     }
 
+    /// Returns what the decision not to shed the call is based on; `None` if it is never shed.
+    fn shed_basis(&self, context: &mut Context<'_>) -> Option<ShedBasis> {
+        let request = self.arriving?;
+        let route = self.route()?;
+        let now_us = context.now_us();
+        let pressures = context.find::<Pressures>(pressure::NAME)?;
+        let reported = pressures.reported_pressure(now_us, &route);
+        Some(ShedBasis {
+            request,
+            pressure_permille: (reported * 1_000.0) as u16,
+        })
+    }
+
     fn remove_pending_request(&mut self, outbound_key: OutboundKey) -> Option<PendingRequest> {
         let index = self
             .pending_requests
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -73,6 +73,7 @@
             trace_id: call.trace_id(),
             route: call.route(),
             is_repeat: call.counts_as_repeat,
+            shed_basis: call.shed_basis(context),
             known_condition,
             http: call.request.http.clone(),
         };
--- a/src/calls/entry/shed.rs
+++ b/src/calls/entry/shed.rs
@@ -40,33 +40,47 @@
         }
     }
 
+    /// Returns what decides whether a routed request is shed; `None` for a child call of a target,
+    /// which is never shed, because requests that already run wait for it. Child calls are recorded
+    /// for the estimate of which routes the target calls.
+    pub(super) fn classify_arrival(
+        &self,
+        context: &mut Context<'_>,
+        plan: &Plan,
+        request: &CallRequest,
+    ) -> Option<ArrivingRequest> {
+        let routed = request.routed.as_ref()?;
+        let now_us = context.now_us();
+        let left_ms = request.deadline_left_ms.unwrap_or(plan.policy.deadline_ms);
+        let pressures = context.find::<Pressures>(pressure::NAME)?;
+        if request.is_from_target {
+            pressures.call_rates().record_call(now_us, &routed.route);
+            return None;
+        }
+        Some(ArrivingRequest {
+            priority: plan.priority,
+            is_client_retry: pressures.detect_client_retry(&routed.route, left_ms),
+        })
+    }
+
     /// Returns the refusal of a new routed request that arrives late in a planned stop, or that is
     /// shed because of the pressure on the services below it.
-    ///
-    /// Child calls of targets are never refused here, because requests that already run wait for
-    /// them; they are recorded for the estimate of which routes the target calls.
     pub(super) fn find_early_refusal(
         &self,
         context: &mut Context<'_>,
         plan: &Plan,
         request: &CallRequest,
+        arriving: Option<ArrivingRequest>,
     ) -> Option<Refusal> {
         let routed = request.routed.as_ref()?;
+        let arriving = arriving?;
         let now_us = context.now_us();
         let left_ms = request.deadline_left_ms.unwrap_or(plan.policy.deadline_ms);
         let mut rng = context.fork_rng();
         let pressures = context.find::<Pressures>(pressure::NAME)?;
-        if request.is_from_target {
-            pressures.call_rates().record_call(now_us, &routed.route);
-            return None;
-        }
         if self.is_stop_grace_over(now_us) {
             return Some(self.stopping_refusal());
         }
-        let arriving = ArrivingRequest {
-            priority: plan.priority,
-            is_client_retry: pressures.detect_client_retry(&routed.route, left_ms),
-        };
         if !pressures.should_shed(now_us, &routed.route, arriving, &mut rng) {
             return None;
         }
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -6,6 +6,7 @@
 mod drain;
 mod finish;
 mod parent;
+mod shed;
 
 pub use parent::Parent;
 
@@ -186,6 +187,10 @@
         };
         self.inbound.insert(inbound, key);
         self.calls.insert(key, guard_call);
+        if let Some(refusal) = self.find_shed_refusal(context, key) {
+            self.refuse(context, key, refusal);
+            return;
+        }
         self.request_permission(context, key);
     }
 
--- a/src/pressure/shed.rs
+++ b/src/pressure/shed.rs
@@ -50,6 +50,27 @@
     }
 }
 
+/// What an entry daemon knew when it decided not to shed a request.
+#[apply(value!)]
+pub struct ShedBasis {
+    /// The request.
+    pub request: ArrivingRequest,
+    /// The pressure on its route that replies had reported, in thousandths.
+    pub pressure_permille: u16,
+}
+
+/// Returns the share of such requests to shed beside the target, so that together with what the
+/// entry daemon shed it is the share at the present pressure.
+///
+/// The pressure travels with replies. Where requests wait so long that no reply comes in time, entry
+/// daemons would otherwise not learn of it.
+pub fn missed_share(pressure: f64, basis: ShedBasis) -> f64 {
+    let known_pressure = f64::from(basis.pressure_permille) / 1_000.0;
+    let shed_before = shed_share(known_pressure, basis.request);
+    let missed = shed_share(pressure, basis.request) - shed_before;
+    (missed / (1.0 - shed_before)).max(0.0)
+}
+
 /// Returns whether a request has clearly less time left than a first attempt would have.
 pub(super) fn is_client_retry(time_left_ms: u32, longest_ms: u32) -> bool {
     u64::from(time_left_ms) * 100 < u64::from(longest_ms) * RETRY_TIME_LEFT_PERCENT
--- a/src/request.rs
+++ b/src/request.rs
@@ -5,6 +5,7 @@
 
 use crate::derives::{message, value};
 use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, RouteName, ServiceName, TraceId};
+use crate::pressure::ShedBasis;
 use crate::routes::RouteTerms;
 use crate::run_once::{ClaimHolder, Ticket};
 use crate::target::TargetCondition;
@@ -157,6 +158,9 @@
     /// Whether an attempt of the request spent a retry, so that a target may have run it before, or
     /// the call is attributed to a repeat that runs at the target beside the entry daemon.
     pub is_repeat: bool,
+    /// What the entry daemon based its decision on not to shed the request; `None` for a request that
+    /// is never shed.
+    pub shed_basis: Option<ShedBasis>,
     /// What the entry daemon was told of the target, unless that is nothing special.
     pub known_condition: Option<TargetCondition>,
     /// The request for the target.
--- a/tests/leaving_guard.rs
+++ b/tests/leaving_guard.rs
@@ -60,6 +60,7 @@
         trace_id: None,
         route: None,
         is_repeat: false,
+        shed_basis: None,
         known_condition: None,
         http: request(SERVICE, "GET", "/").http,
     };
--- a/tests/support/deep_service.rs
+++ b/tests/support/deep_service.rs
@@ -12,6 +12,7 @@
 use dragonflylug::retry::ServiceBudgetSettings;
 use dragonflylug::routes::RouteTerms;
 use dragonflylug::settings::Settings;
+use dragonflylug::target::{RateLimitSignal, RequestRate};
 use dragonflylug::verdict::Verdict;
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
@@ -23,7 +24,7 @@
 pub const SECOND_US: u64 = 1_000_000;
 pub const FRONTS: u16 = 10;
 pub const CHILDREN: usize = 4;
-const DEEP_TARGETS: u16 = 4;
+pub const DEEP_TARGETS: u16 = 4;
 const DEEP_SLOTS: u32 = 17;
 const DEEP_WORK_US: u64 = 40_000;
 const FRONT_WORK_US: u64 = 160_000;
@@ -34,6 +35,9 @@
 pub const CAPACITY_PER_S: f64 =
     (DEEP_TARGETS as f64) * 16.0 / (DEEP_WORK_US as f64 / SECOND_US as f64) / CHILDREN as f64;
 
+/// The capacity of one deep target, in calls per second.
+pub const DEEP_CALLS_PER_S: f64 = CAPACITY_PER_S * CHILDREN as f64 / DEEP_TARGETS as f64;
+
 /// Every request whose index is a multiple of this is a payment, the others are lookups.
 pub const PAYMENT_EVERY: usize = 4;
 
@@ -55,6 +59,10 @@
     /// For each phase its length in seconds, and its load as a multiple of the capacity.
     pub phases: Vec<(u64, f64)>,
     pub deep: DeepTarget,
+    /// The rate limits that the first deep targets name, in calls per second.
+    pub limits_per_s: Vec<&'static str>,
+    /// The seed of the times at which requests are offered.
+    pub seed: u64,
 }
 
 impl Default for DeepLoad {
@@ -64,6 +72,8 @@
             budget: ServiceBudgetSettings::default(),
             phases: vec![(10, 1.0)],
             deep: Rc::new(|_, _| ok_outcome()),
+            limits_per_s: Vec::new(),
+            seed: 11,
         }
     }
 }
@@ -178,6 +188,10 @@
             network.nodes[node].child_calls = vec![deep_call(); CHILDREN];
             continue;
         }
+        if let Some(per_s) = load.limits_per_s.get(usize::from(number - FRONTS)) {
+            let rate = RequestRate::parse(per_s).unwrap();
+            network.nodes[node].signals.rate_limit = RateLimitSignal::Limited(rate);
+        }
         let deep = Rc::clone(&load.deep);
         let mut rng = ChaCha8Rng::seed_from_u64(u64::from(number));
         network.nodes[node].target = Box::new(move |now_us, _| {
@@ -204,7 +218,7 @@
 /// replies.
 pub fn run(load: &DeepLoad) -> DeepRun {
     let mut network = network(load);
-    let mut rng = ChaCha8Rng::seed_from_u64(11);
+    let mut rng = ChaCha8Rng::seed_from_u64(load.seed);
     let mut starts_us: Vec<u64> = Vec::new();
     let mut from_us = CONVERGENCE_US;
     for (seconds, load) in &load.phases {
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -65,6 +65,8 @@
     pub operator_replies: Vec<(CallKey, OperatorReply)>,
     pub counters: SortedMap<Counter, u64>,
     pub is_stopped: bool,
+    /// What the answers of the target say of it.
+    pub signals: AnswerSignals,
     /// The departures that the guard passed on to be remembered.
     pub departures: Vec<TargetStart>,
     /// The requests that were sent to the target, with their times. A target that makes child calls
@@ -191,6 +193,7 @@
             operator_replies: Vec::new(),
             counters: SortedMap::default(),
             is_stopped: false,
+            signals: AnswerSignals::default(),
             departures: Vec::new(),
             runs: Vec::new(),
             child_calls: Vec::new(),
@@ -460,8 +463,8 @@
                 };
                 let event = Event::TargetRequestEnded {
                     call,
+                    signals: self.signals_of(node, &outcome),
                     outcome,
-                    signals: AnswerSignals::default(),
                 };
                 let input = Input::Event(dragonflylug::calls::guard::NAME, event);
                 self.schedule_input(after_us.min(timeout_us), node, input);
@@ -489,6 +492,14 @@
         }
     }
 
+    /// Returns what the target says of itself with an outcome.
+    fn signals_of(&self, node: usize, outcome: &TargetOutcome) -> AnswerSignals {
+        match outcome {
+            TargetOutcome::Answered(_) => self.nodes[node].signals,
+            _ => AnswerSignals::default(),
+        }
+    }
+
     /// Starts a run whose target makes its child calls after `after_us`. The run counts as lost if
     /// the target has not answered within the timeout.
     fn start_parent_run(&mut self, node: usize, run: ParentRun, after_us: u64, timeout_us: u64) {
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -102,6 +102,7 @@
             trace_id: None,
             route: None,
             is_repeat: false,
+            shed_basis: None,
             known_condition: None,
             http: request.http.clone(),
         };
--- a/tests/support/sized_answers.rs
+++ b/tests/support/sized_answers.rs
@@ -73,6 +73,7 @@
         trace_id: None,
         route: None,
         is_repeat: false,
+        shed_basis: None,
         known_condition: None,
         http: HttpRequest {
             method: "GET".to_string(),
