Bound the memory of all responses together

What callers saw: a target that sends bytes without end made its sidecar exceed its memory, which ends it for all requests. Cause: the bound of 32 MiB held for each response alone, and the daemon's own target client had none. Change: ResponseBudget, one for a process, for responses of the target and of other daemons. A body of known length waits for the memory of the whole body; bodies of unknown length share a part, in which only those below an equal share still grow. The memory is returned when the last copy of the body is dropped, so also while an entry fetches it or a client reads slowly. Bodies that wait to be fetched are no longer copied, and their total is bounded by the memory of the sidecar instead of eight times 32 MiB.

--- a/src/host.rs
+++ b/src/host.rs
@@ -16,6 +16,7 @@
 pub mod peer;
 pub mod platform;
 pub mod pool;
+pub mod response_budget;
 pub mod send_permit;
 pub mod server;
 pub mod sidecar;
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -16,6 +16,7 @@
 use super::operator::OperatorServer;
 use super::peer::{PeerLimits, PeerLinks, PeerServer};
 use super::platform::PlatformClient;
+use super::response_budget::ResponseBudget;
 use super::target::TargetClient;
 use super::{MonotonicClock, Node, NodeAdapters};
 use crate::derives::value;
@@ -30,6 +31,10 @@
 /// Why a daemon could not start.
 pub type StartError = Box<dyn std::error::Error + Send + Sync>;
 
+/// The maximum total size of the bodies that wait for their next chunk, and of those that arrive in
+/// chunks.
+const PEER_BODIES_BYTES_MAX: usize = 128 * 1024 * 1024;
+
 /// How long a graceful shutdown waits for the last responses to reach the sockets.
 const FLUSH_DELAY: Duration = Duration::from_millis(100);
 
@@ -88,8 +93,12 @@
         let codec: Arc<dyn CallCodec> = Arc::new(NativeCallCodec);
         let caller_server = CallerServer::new(Arc::clone(&node), limits, Arc::clone(&codec), None);
         let target_server = CallerServer::new(Arc::clone(&node), limits, codec, Some(target));
-        let serve_peers =
-            PeerServer::new(Arc::clone(&node), settings.body_bytes_max).serve(peer_listener);
+        let serve_peers = PeerServer::new(
+            Arc::clone(&node),
+            settings.body_bytes_max,
+            PEER_BODIES_BYTES_MAX,
+        )
+        .serve(peer_listener);
         let tasks = vec![
             tokio::spawn(Arc::clone(&caller_server).serve(caller_listener)).abort_handle(),
             tokio::spawn(Arc::clone(&target_server).serve(announce_listener)).abort_handle(),
@@ -215,10 +224,13 @@
     );
     NodeAdapters {
         clock: Box::new(MonotonicClock::default()),
-        peers: Box::new(PeerLinks::new(PeerLimits {
-            body_bytes_max,
-            ..PeerLimits::default()
-        })),
+        peers: Box::new(PeerLinks::new(
+            PeerLimits {
+                body_bytes_max,
+                ..PeerLimits::default()
+            },
+            ResponseBudget::new(PEER_BODIES_BYTES_MAX),
+        )),
         target: target.clone(),
         departures: Box::new(target),
         table: Box::new(platform.clone()),
--- a/src/host/peer.rs
+++ b/src/host/peer.rs
@@ -19,6 +19,7 @@
 use tarpc::tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio::net::{TcpListener, TcpStream};
 
+use super::response_budget::ResponseBudget;
 use super::{Node, PeerTransport, lock};
 use crate::derives::{message, value};
 use crate::ids::InboundKey;
@@ -125,14 +126,16 @@
 /// The links to other daemons, one for each address.
 pub struct PeerLinks {
     limits: PeerLimits,
+    budget: Arc<ResponseBudget>,
     links: Mutex<SortedMap<SocketAddr, Arc<Link>>>,
 }
 
 impl PeerLinks {
-    /// Creates an empty set of links.
-    pub fn new(limits: PeerLimits) -> Self {
+    /// Creates an empty set of links. Bodies of responses that arrive in chunks use a budget.
+    pub fn new(limits: PeerLimits, budget: Arc<ResponseBudget>) -> Self {
         Self {
             limits,
+            budget,
             links: Mutex::default(),
         }
     }
@@ -147,7 +150,7 @@
         if links.len() >= self.limits.links_max {
             close_least_recently_used(&mut links);
         }
-        let link = Arc::new(Link::new(to, self.limits));
+        let link = Arc::new(Link::new(to, self.limits, Arc::clone(&self.budget)));
         links.insert(to, Arc::clone(&link));
         link
     }
@@ -196,23 +199,23 @@
     framed
 }
 
-/// The maximum total size of the bodies in the chunk store, as a multiple of the maximum body size.
-const CHUNK_STORE_SIZE_FACTOR: usize = 8;
-
 /// The RPC server for other daemons.
 #[derive(Clone)]
 pub struct PeerServer {
     node: Arc<Node>,
     body_bytes_max: usize,
+    chunked_bytes_max: usize,
     chunks: Arc<Mutex<ChunkStore>>,
 }
 
 impl PeerServer {
-    /// Creates a server that passes requests to a node.
-    pub fn new(node: Arc<Node>, body_bytes_max: usize) -> Self {
+    /// Creates a server that passes requests to a node. All bodies that wait for their next chunk
+    /// may use `chunked_bytes_max`.
+    pub fn new(node: Arc<Node>, body_bytes_max: usize, chunked_bytes_max: usize) -> Self {
         Self {
             node,
             body_bytes_max,
+            chunked_bytes_max,
             chunks: Arc::default(),
         }
     }
@@ -244,10 +247,6 @@
             .await;
     }
 
-    fn chunked_bytes_max(&self) -> usize {
-        self.body_bytes_max.saturating_mul(CHUNK_STORE_SIZE_FACTOR)
-    }
-
     /// Restores the body of a request from its chunks; returns `None` if no chunk is stored. A body
     /// that lacks its last chunks is not detected.
     fn restore_request_body(&self, message: PeerRequestMessage) -> Option<PeerRequest> {
@@ -270,7 +269,7 @@
             };
         };
         let key = rand::rng().next_u64();
-        if lock(&self.chunks).store(key, &body, self.chunked_bytes_max()) {
+        if lock(&self.chunks).store(key, body.clone(), self.chunked_bytes_max) {
             let body_bytes = body.len() as u64;
             return PeerResponseMessage {
                 response,
@@ -311,11 +310,10 @@
         offset: u64,
         chunk: Bytes,
     ) -> bool {
-        let bytes_max = self.chunked_bytes_max();
         let Ok(offset) = usize::try_from(offset) else {
             return false;
         };
-        lock(&self.chunks).append(key, offset, &chunk, bytes_max)
+        lock(&self.chunks).append(key, offset, &chunk, self.chunked_bytes_max)
     }
 
     async fn get_chunk(self, _: tarpc::context::Context, key: u64, offset: u64) -> Option<Bytes> {
--- a/src/host/peer/chunks.rs
+++ b/src/host/peer/chunks.rs
@@ -23,14 +23,47 @@
 }
 
 struct StoredBody {
-    body: BytesMut,
+    body: BodyBytes,
     last_access: Instant,
 }
 
+enum BodyBytes {
+    /// A body that the other side fetches.
+    Whole(Bytes),
+    /// A body of which the other side sends one chunk after the other.
+    Partial(BytesMut),
+}
+
+impl BodyBytes {
+    fn len(&self) -> usize {
+        match self {
+            Self::Whole(body) => body.len(),
+            Self::Partial(body) => body.len(),
+        }
+    }
+
+    fn into_bytes(self) -> Bytes {
+        match self {
+            Self::Whole(body) => body,
+            Self::Partial(body) => body.freeze(),
+        }
+    }
+}
+
 impl ChunkStore {
     /// Stores a body for the other side to fetch; returns false if the store is full.
-    pub(super) fn store(&mut self, key: u64, body: &[u8], bytes_max: usize) -> bool {
-        self.append(key, 0, body, bytes_max)
+    pub(super) fn store(&mut self, key: u64, body: Bytes, bytes_max: usize) -> bool {
+        self.drop_expired();
+        if self.total_bytes + body.len() > bytes_max {
+            return false;
+        }
+        self.total_bytes += body.len();
+        let stored = StoredBody {
+            body: BodyBytes::Whole(body),
+            last_access: Instant::now(),
+        };
+        self.bodies.insert(key, stored);
+        true
     }
 
     /// Appends the chunk at an offset and returns whether the body has it now.
@@ -50,7 +83,7 @@
         }
         let now = Instant::now();
         let new_body = || StoredBody {
-            body: BytesMut::new(),
+            body: BodyBytes::Partial(BytesMut::new()),
             last_access: now,
         };
         let stored = self.bodies.get_or_insert_with(key, new_body);
@@ -61,7 +94,10 @@
         if offset > stored.body.len() {
             return false;
         }
-        stored.body.extend_from_slice(chunk);
+        let BodyBytes::Partial(body) = &mut stored.body else {
+            return false;
+        };
+        body.extend_from_slice(chunk);
         self.total_bytes += chunk.len();
         true
     }
@@ -71,15 +107,17 @@
         let stored = self.bodies.get_mut(&key)?;
         stored.last_access = Instant::now();
         let end = stored.body.len().min(offset + CHUNK_BYTES);
-        let chunk = stored.body.get(offset..end)?;
-        Some(Bytes::copy_from_slice(chunk))
+        let BodyBytes::Whole(body) = &stored.body else {
+            return None;
+        };
+        (offset <= end).then(|| body.slice(offset..end))
     }
 
     /// Removes and returns a whole body.
     pub(super) fn remove(&mut self, key: u64) -> Option<Bytes> {
         let stored = self.bodies.remove(&key)?;
         self.total_bytes -= stored.body.len();
-        Some(stored.body.freeze())
+        Some(stored.body.into_bytes())
     }
 
     fn drop_expired(&mut self) {
--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -19,6 +19,7 @@
     ChunkedBody, IN_FLIGHT_MAX, PeerLimits, PeerRequestMessage, PeerRpcClient, framed_transport,
 };
 use crate::host::lock;
+use crate::host::response_budget::ResponseBudget;
 use crate::kernel::LinkError;
 use crate::peer::{PeerRequest, PeerResponse};
 
@@ -26,6 +27,7 @@
 pub(super) struct Link {
     to: SocketAddr,
     limits: PeerLimits,
+    budget: Arc<ResponseBudget>,
     state: AsyncMutex<LinkState>,
     last_used: Mutex<Instant>,
     in_flight: AtomicUsize,
@@ -50,10 +52,11 @@
 }
 
 impl Link {
-    pub(super) fn new(to: SocketAddr, limits: PeerLimits) -> Self {
+    pub(super) fn new(to: SocketAddr, limits: PeerLimits, budget: Arc<ResponseBudget>) -> Self {
         Self {
             to,
             limits,
+            budget,
             state: AsyncMutex::default(),
             last_used: Mutex::new(Instant::now()),
             in_flight: AtomicUsize::new(0),
@@ -150,7 +153,16 @@
         deadline: Instant,
     ) -> Result<PeerResponse, LinkError> {
         let body_bytes = usize::try_from(chunked_body.body_bytes).map_err(|_| LinkError::Lost)?;
-        let mut body = BytesMut::new();
+        let reservation = match body_bytes <= self.limits.body_bytes_max {
+            true => tokio::time::timeout_at(deadline.into(), self.budget.reserve(body_bytes)).await,
+            false => Ok(None),
+        };
+        let reservation = reservation.map_err(|_| LinkError::TimedOut)?;
+        let Some(reservation) = reservation else {
+            log::warn!(target: "dragonflylug", "gave up a response of {body_bytes} bytes from {}: too large", self.to);
+            return Err(LinkError::Lost);
+        };
+        let mut body = BytesMut::with_capacity(body_bytes);
         while body.len() < body_bytes {
             if Instant::now() >= deadline {
                 return Err(LinkError::TimedOut);
@@ -167,7 +179,8 @@
                 Err(_) => {}
             }
         }
-        *chunks::response_body(&mut response).ok_or(LinkError::Lost)? = body.freeze();
+        *chunks::response_body(&mut response).ok_or(LinkError::Lost)? =
+            reservation.hold(body.freeze());
         self.release(chunked_body.key, deadline).await;
         Ok(response)
     }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, Limited};
+use http_body_util::Full;
 use hyper::client::conn::http1::{SendRequest, handshake};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
@@ -21,6 +21,7 @@
 use tokio::task::AbortHandle;
 
 use super::lock;
+use super::response_budget::{ResponseBudget, read_body};
 use super::send_permit::SendPermit;
 use crate::derives::value;
 
@@ -90,6 +91,7 @@
 pub struct HttpPool {
     to: SocketAddr,
     settings: PoolSettings,
+    budget: Arc<ResponseBudget>,
     state: Arc<Mutex<PoolState>>,
 }
 
@@ -117,11 +119,22 @@
 }
 
 impl HttpPool {
-    /// Creates an empty pool.
+    /// Creates an empty pool with a budget of its own, which one response may use up.
     pub fn new(to: SocketAddr, settings: PoolSettings) -> Self {
+        let budget = ResponseBudget::new(settings.response_bytes_max);
+        Self::with_budget(to, settings, budget)
+    }
+
+    /// Creates an empty pool whose responses share a budget with others.
+    pub fn with_budget(
+        to: SocketAddr,
+        settings: PoolSettings,
+        budget: Arc<ResponseBudget>,
+    ) -> Self {
         Self {
             to,
             settings,
+            budget,
             state: Arc::default(),
         }
     }
@@ -182,13 +195,13 @@
         response: Response<hyper::body::Incoming>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (head, body) = response.into_parts();
-        let body = Limited::new(body, self.settings.response_bytes_max);
-        let Ok(body) = body.collect().await else {
+        let Some(body) = read_body(body, &self.budget, self.settings.response_bytes_max).await
+        else {
             self.pause_reuse();
             return Err(ExchangeError::Lost);
         };
         self.put_back(connection);
-        Ok(Response::from_parts(head, body.to_bytes()))
+        Ok(Response::from_parts(head, body))
     }
 
     /// Removes and returns the most recently used connection. Returns `None` if there is
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -20,6 +20,7 @@
 use super::caller::{CallCodec, CallerLimits, CallerServer};
 use super::daemon::{StartError, bind};
 use super::peer::{PeerLimits, PeerLinks, PeerServer};
+use super::response_budget::ResponseBudget;
 use super::{MonotonicClock, Node, NodeAdapters, TargetTransport, lock};
 use crate::ids::{MemberId, ServiceName};
 use crate::kernel::{Input, Kernel, Notice};
@@ -80,6 +81,8 @@
     pub routes: Box<dyn RouteSource>,
     /// The sink for counters and latencies.
     pub metrics: Arc<dyn MetricSink>,
+    /// The memory for the bodies of responses, of the target and of other daemons.
+    pub budget: Arc<ResponseBudget>,
 }
 
 /// A running daemon whose platform-specific parts are adapters.
@@ -110,13 +113,7 @@
         let (departures, new_departures) = mpsc::unbounded_channel();
         let node_adapters = NodeAdapters {
             clock: Box::new(MonotonicClock::default()),
-            peers: Box::new(PeerLinks::new(PeerLimits {
-                body_bytes_max: settings.node.body_bytes_max,
-                connect_timeout: PEER_CONNECT_TIMEOUT,
-                ping_after: PEER_PING_AFTER,
-                ping_timeout: PEER_PING_TIMEOUT,
-                ..PeerLimits::default()
-            })),
+            peers: Box::new(PeerLinks::new(peer_limits(&settings.node), adapters.budget)),
             target: adapters.target,
             departures: Box::new(departures),
             table: adapters.table,
@@ -157,8 +154,12 @@
 
     fn spawn_tasks(self: &Arc<Self>, caller_listener: TcpListener, peer_listener: TcpListener) {
         let body_bytes_max = self.settings.node.body_bytes_max;
-        let serve_peers =
-            PeerServer::new(Arc::clone(&self.node), body_bytes_max).serve(peer_listener);
+        let serve_peers = PeerServer::new(
+            Arc::clone(&self.node),
+            body_bytes_max,
+            self.settings.bodies_bytes_max,
+        )
+        .serve(peer_listener);
         let tasks = vec![
             tokio::spawn(Arc::clone(&self.caller_server).serve(caller_listener)).abort_handle(),
             tokio::spawn(serve_peers).abort_handle(),
@@ -241,6 +242,16 @@
     }
 }
 
+fn peer_limits(settings: &Settings) -> PeerLimits {
+    PeerLimits {
+        body_bytes_max: settings.body_bytes_max,
+        connect_timeout: PEER_CONNECT_TIMEOUT,
+        ping_after: PEER_PING_AFTER,
+        ping_timeout: PEER_PING_TIMEOUT,
+        ..PeerLimits::default()
+    }
+}
+
 /// Creates the node's kernel under a new random member id.
 fn new_kernel(settings: &Settings) -> Kernel {
     let mut rng = rand::rng();
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -4,13 +4,14 @@
 use std::time::{Duration, Instant};
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::Full;
 use hyper::header::HeaderMap;
 use hyper::{Request, Uri};
 use hyper_util::client::legacy::Client;
 use hyper_util::client::legacy::connect::HttpConnector;
 use hyper_util::rt::{TokioExecutor, TokioTimer};
 
+use super::response_budget::{ResponseBudget, read_body};
 use super::{
     Clock, DepartureSink, MonotonicClock, TargetReply, TargetRequest, TargetTransport, http, lock,
 };
@@ -26,6 +27,10 @@
 /// How long a target may send no announcement before it counts as lost.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
+/// The maximum size of the body of an answer, and of those of all answers in memory.
+const ANSWER_BYTES_MAX: usize = 32 * 1024 * 1024;
+const ANSWERS_BYTES_MAX: usize = 128 * 1024 * 1024;
+
 /// The latest announcement of the target, and the instances that drained.
 #[derive(Default)]
 struct Announcements {
@@ -42,6 +47,7 @@
 /// A client with pooled connections to the target that last announced itself.
 pub struct TargetClient {
     client: Client<HttpConnector, Full<Bytes>>,
+    budget: Arc<ResponseBudget>,
     announcements: Mutex<Announcements>,
     clock: MonotonicClock,
 }
@@ -56,6 +62,7 @@
             .build(connector);
         Self {
             client,
+            budget: ResponseBudget::new(ANSWERS_BYTES_MAX),
             announcements: Mutex::default(),
             clock: MonotonicClock::default(),
         }
@@ -122,12 +129,12 @@
         let status = response.status().as_u16();
         let headers = http::forwarded_headers(response.headers());
         let signals = read_signals(response.headers());
-        match response.into_body().collect().await {
-            Ok(body) => TargetReply {
-                outcome: TargetOutcome::Answered(Answer::new(status, headers, body.to_bytes())),
+        match read_body(response.into_body(), &self.budget, ANSWER_BYTES_MAX).await {
+            Some(body) => TargetReply {
+                outcome: TargetOutcome::Answered(Answer::new(status, headers, body)),
                 signals,
             },
-            Err(_) => TargetOutcome::Lost.into(),
+            None => TargetOutcome::Lost.into(),
         }
     }
 }
