--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -30,6 +30,12 @@
 /// The request header that asks for an answer of this many bytes instead of an echo.
 pub const ANSWER_BYTES_HEADER: &str = "x-standin-answer-bytes";
 
+/// The answer header that names the rate that the target accepts, in requests per second.
+const RATE_LIMIT_HEADER: &str = "x-dragonflylug-rate-limit";
+
+/// The answer header with which the target says that it drains.
+const LEAVING_HEADER: &str = "x-dragonflylug-leaving";
+
 /// The answer header that gives the work done for a request and its child calls, in microseconds.
 pub const WORK_US_HEADER: &str = "x-standin-work-us";
 
@@ -82,6 +88,11 @@
         self.state.drain();
     }
 
+    /// Returns the times at which its runs started, with their paths.
+    pub fn run_starts(&self) -> Vec<(std::time::Instant, String)> {
+        self.state.run_starts()
+    }
+
     /// Returns a copy of the log of what it ran so far.
     pub fn log(&self) -> RunLog {
         self.state.log()
--- a/standins/src/target/config.rs
+++ b/standins/src/target/config.rs
@@ -67,6 +67,8 @@
     pub children: Vec<ChildCall>,
     /// Whether these calls are made in parallel rather than in sequence.
     pub are_children_parallel: bool,
+    /// The rate limit that its answers name, in requests per second, if they name one.
+    pub rate_limit_per_s: Option<f64>,
 }
 
 impl Default for Behaviour {
@@ -78,6 +80,7 @@
             health: Health::Honest,
             children: Vec::new(),
             are_children_parallel: false,
+            rate_limit_per_s: None,
         }
     }
 }
--- a/standins/src/target/http.rs
+++ b/standins/src/target/http.rs
@@ -7,7 +7,7 @@
 use bytes::Bytes;
 use http_body_util::{BodyExt, Either, Full};
 use hyper::body::{Body, Frame, Incoming, SizeHint};
-use hyper::header::HeaderValue;
+use hyper::header::{HeaderMap, HeaderValue};
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response, StatusCode};
 use hyper_util::rt::TokioIo;
@@ -16,10 +16,10 @@
 use tokio::sync::OwnedSemaphorePermit;
 use tokio::task::JoinSet;
 
-use super::WORK_US_HEADER;
 use super::config::{Behaviour, Health, TargetMode};
 use super::execution::{IncomingRequest, RunOutcome};
 use super::state::State;
+use super::{LEAVING_HEADER, RATE_LIMIT_HEADER, WORK_US_HEADER};
 
 type HttpResponse = Response<Either<Full<Bytes>, TruncatedBody>>;
 
@@ -107,7 +107,13 @@
         headers: head.headers,
         body,
     };
-    Ok(match request.run(state).await {
+    let mut response = run(&request, state).await;
+    add_signals(state, response.headers_mut());
+    Ok(response)
+}
+
+async fn run(request: &IncomingRequest, state: &Arc<State>) -> HttpResponse {
+    match request.run(state).await {
         RunOutcome::Answer {
             body,
             total_work_us,
@@ -124,7 +130,19 @@
             "all slots and the backlog are full",
         ),
         RunOutcome::Truncated(body) => truncated_response(&body),
-    })
+    }
+}
+
+/// Adds the headers in which the target says something of itself at present.
+fn add_signals(state: &State, headers: &mut HeaderMap) {
+    if let Some(per_s) = state.behaviour().rate_limit_per_s
+        && let Ok(value) = HeaderValue::from_str(&per_s.to_string())
+    {
+        headers.insert(RATE_LIMIT_HEADER, value);
+    }
+    if state.is_draining() {
+        headers.insert(LEAVING_HEADER, HeaderValue::from_static("1"));
+    }
 }
 
 /// Handles a request to one of the paths that control the target.
--- a/standins/src/target/state.rs
+++ b/standins/src/target/state.rs
@@ -88,6 +88,15 @@
         self.lock().log.clone()
     }
 
+    pub(super) fn run_starts(&self) -> Vec<(Instant, String)> {
+        let mut starts = Vec::new();
+        for run in &self.lock().log.runs {
+            let started_at = self.start + Duration::from_micros(run.started_us);
+            starts.push((started_at, run.path.clone()));
+        }
+        starts
+    }
+
     pub(super) fn record_refused_connection(&self) {
         self.lock().log.connections_refused += 1;
     }
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -10,6 +10,8 @@
 mod loopback;
 #[path = "support/processes.rs"]
 mod processes;
+#[path = "../platform/tests/support/rate_rule.rs"]
+mod rate_rule;
 #[path = "support/soak_callers.rs"]
 mod soak_callers;
 
@@ -20,11 +22,12 @@
 use dragonflylug_standins::platform::{Fault, FaultMode, PlatformStandin};
 use dragonflylug_standins::relay::Relay;
 use dragonflylug_standins::target::{Behaviour, TargetConfig, TargetMode, TargetStandin};
-use fault_schedule::{DaemonCounts, FaultAction, draw_schedule};
+use fault_schedule::{DaemonCounts, FaultAction, draw_limits, draw_schedule};
 use nix::sys::signal::Signal;
 use processes::{DaemonProcess, settings, wait_for_targets};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use rate_rule::NamedLimits;
 use soak_callers::{Callers, Observations, send};
 
 const DAEMON_COUNTS: DaemonCounts = DaemonCounts {
@@ -38,6 +41,10 @@
 /// How long after the start of its drain a target may still get new work.
 const DRAIN_GRACE_US: u64 = 2_000_000;
 
+/// How long after a fault of an entry its requests do not count for a limit: until it has passed on a
+/// limited answer for half a second.
+const TOLD_AGAIN_AFTER: Duration = Duration::from_secs(1);
+
 /// The maximum time from the end of all faults until calls succeed again at every entry.
 const RECOVERY_TIMEOUT: Duration = Duration::from_secs(15);
 
@@ -56,6 +63,8 @@
     settings: Settings,
     relay: Option<Relay>,
     target: Option<TargetStandin>,
+    /// The rate limits that the target named.
+    limits: NamedLimits,
 }
 
 /// The system under test.
@@ -65,6 +74,17 @@
     daemons: Vec<Daemon>,
     /// The drained targets that were replaced; their logs count in the checks.
     former_targets: Vec<TargetStandin>,
+    /// The limits that the former targets named.
+    former_limits: Vec<NamedLimits>,
+    /// When each fault of an entry began, and when it ended.
+    entry_faults: Vec<EntryFault>,
+}
+
+/// A fault of an entry.
+struct EntryFault {
+    entry: usize,
+    begun_at: Instant,
+    ended_at: Option<Instant>,
 }
 
 impl SoakSystem {
@@ -74,6 +94,8 @@
             platform: PlatformStandin::start("127.0.0.1:0".parse().unwrap()).unwrap(),
             daemons: Vec::new(),
             former_targets: Vec::new(),
+            former_limits: Vec::new(),
+            entry_faults: Vec::new(),
         };
         for index in 0..DAEMON_COUNTS.entries + DAEMON_COUNTS.guards {
             let daemon = system.start_daemon(index);
@@ -124,7 +146,44 @@
         }
     }
 
+    /// Records when faults of entries begin and end.
+    fn record_entry_fault(&mut self, action: FaultAction) {
+        let now = Instant::now();
+        match action {
+            FaultAction::Pause(entry)
+            | FaultAction::Kill(entry)
+            | FaultAction::Terminate(entry)
+                if entry < DAEMON_COUNTS.entries =>
+            {
+                self.entry_faults.push(EntryFault {
+                    entry,
+                    begun_at: now,
+                    ended_at: None,
+                });
+            }
+            FaultAction::Resume(index) | FaultAction::Start(index) => {
+                for fault in &mut self.entry_faults {
+                    if fault.entry == index && fault.ended_at.is_none() {
+                        fault.ended_at = Some(now);
+                    }
+                }
+            }
+            _ => {}
+        }
+    }
+
+    /// Returns whether an entry was struck at a time, or was and may not know of limits yet.
+    fn was_entry_struck(&self, entry: usize, at: Instant) -> bool {
+        self.entry_faults.iter().any(|fault| {
+            let has_ended = fault
+                .ended_at
+                .is_some_and(|ended_at| ended_at + TOLD_AGAIN_AFTER < at);
+            fault.entry == entry && fault.begun_at <= at && !has_ended
+        })
+    }
+
     fn apply(&mut self, action: FaultAction) {
+        self.record_entry_fault(action);
         match action {
             FaultAction::Pause(index) => self.daemons[index].signal(Signal::SIGSTOP),
             FaultAction::Resume(index) => self.daemons[index].signal(Signal::SIGCONT),
@@ -137,6 +196,10 @@
             FaultAction::CutConnections(index) => self.daemons[index].relay().disconnect(),
             FaultAction::RestoreConnections(index) => self.daemons[index].relay().restore(),
             FaultAction::BreakTarget(index, mode) => self.daemons[index].set_mode(mode),
+            FaultAction::LimitTarget(index, per_s) => {
+                self.daemons[index].name_limit(Some(f64::from(per_s)));
+            }
+            FaultAction::LiftLimit(index) => self.daemons[index].name_limit(None),
             FaultAction::RepairTarget(index) => self.daemons[index].set_mode(TargetMode::Normal),
             FaultAction::DrainTarget(index) => self.daemons[index].target().drain(),
             FaultAction::Replace(index) => self.replace(index),
@@ -160,6 +223,7 @@
         let mut old = std::mem::replace(&mut self.daemons[index], new);
         old.wait_for_exit();
         self.former_targets.extend(old.target.take());
+        self.former_limits.push(old.limits);
     }
 
     fn targets(&self) -> impl Iterator<Item = &TargetStandin> {
@@ -193,9 +257,20 @@
             },
             relay: None,
             target: None,
+            limits: NamedLimits::default(),
         }
     }
 
+    /// Makes the answers of the target name a rate limit, or none.
+    fn name_limit(&mut self, per_s: Option<f64>) {
+        self.limits.name(per_s);
+        let target = self.target();
+        target.set_behaviour(Behaviour {
+            rate_limit_per_s: per_s,
+            ..target.behaviour()
+        });
+    }
+
     fn signal(&self, signal: Signal) {
         self.process.as_ref().unwrap().signal(signal);
     }
@@ -221,9 +296,10 @@
     }
 
     fn set_mode(&self, mode: TargetMode) {
-        self.target().set_behaviour(Behaviour {
+        let target = self.target();
+        target.set_behaviour(Behaviour {
             mode,
-            ..normal_behaviour()
+            ..target.behaviour()
         });
     }
 }
@@ -297,10 +373,35 @@
     }
 }
 
+/// Checks that no target got more requests than its limits allow. Requests that began while their
+/// entry was struck, or before it was told of a limit again, do not count.
+fn check_limits(system: &SoakSystem) {
+    let current = system.daemons.iter().filter_map(|daemon| {
+        let target = daemon.target.as_ref()?;
+        Some((target, &daemon.limits))
+    });
+    let former = system.former_targets.iter().zip(&system.former_limits);
+    for (target, limits) in current.chain(former) {
+        let mut counted = Vec::new();
+        for (at, path) in target.run_starts() {
+            let entry = path
+                .rsplit("entry=")
+                .next()
+                .and_then(|text| text.parse().ok());
+            if entry.is_some_and(|entry| !system.was_entry_struck(entry, at)) {
+                counted.push(at);
+            }
+        }
+        assert_eq!(limits.violations(counted), Vec::<String>::new());
+    }
+}
+
 /// Injects faults into a new system for `duration_ms`, then checks the guarantees.
 fn run_soak(seed: u64, duration_ms: u64) {
     let mut rng = ChaCha8Rng::seed_from_u64(seed);
-    let actions = draw_schedule(&mut rng, DAEMON_COUNTS, duration_ms);
+    let mut actions = draw_schedule(&mut rng, DAEMON_COUNTS, duration_ms);
+    actions.extend(draw_limits(&mut rng, DAEMON_COUNTS, duration_ms));
+    actions.sort_by_key(|(time_ms, _)| *time_ms);
     println!("seed {seed}, {} actions", actions.len());
     let mut system = SoakSystem::start();
     let callers = Callers::start(&system.entries(), CALLERS);
@@ -317,6 +418,7 @@
     assert_eq!(observed.mismatched_answers, Vec::<String>::new());
     check_payments(&system, &observed);
     check_drains(&system);
+    check_limits(&system);
 }
 
 /// The seed of a soak test and how long faults are injected.
--- a/tests/support/fault_schedule.rs
+++ b/tests/support/fault_schedule.rs
@@ -18,6 +18,13 @@
 /// The time from the start of a target's drain until the target is replaced.
 const DRAIN_DURATION_MS: u64 = 3_500;
 
+/// How long a target names a rate limit, and the limit in requests per second.
+const LIMIT_DURATION_MS: std::ops::Range<u64> = 4_000..6_000;
+const LIMIT_PER_S: std::ops::Range<u32> = 5..40;
+
+/// The time between two draws of a limit.
+const LIMIT_INTERVAL_MS: std::ops::Range<u64> = 500..3_000;
+
 /// The index of a daemon: entries come first, then guards.
 pub type DaemonIndex = usize;
 
@@ -40,6 +47,9 @@
     /// Makes the target beside a guard fail in a mode until it is repaired.
     BreakTarget(DaemonIndex, TargetMode),
     RepairTarget(DaemonIndex),
+    /// Makes the answers of the target beside a guard name a rate limit until it is lifted.
+    LimitTarget(DaemonIndex, u32),
+    LiftLimit(DaemonIndex),
     /// Drains the target beside a guard; both are replaced later.
     DrainTarget(DaemonIndex),
     Replace(DaemonIndex),
@@ -92,6 +102,30 @@
     actions
 }
 
+/// Draws when targets name a rate limit and for how long. Limits overlap with all faults.
+pub fn draw_limits(
+    rng: &mut ChaCha8Rng,
+    counts: DaemonCounts,
+    duration_ms: u64,
+) -> Vec<(u64, FaultAction)> {
+    let mut free_from_ms = vec![0; counts.guards];
+    let mut actions = Vec::new();
+    let mut now_ms = rng.random_range(LIMIT_INTERVAL_MS);
+    while now_ms < duration_ms {
+        let guard = rng.random_range(0..counts.guards);
+        let end_ms = now_ms + rng.random_range(LIMIT_DURATION_MS);
+        let per_s = rng.random_range(LIMIT_PER_S);
+        if free_from_ms[guard] <= now_ms {
+            free_from_ms[guard] = end_ms;
+            let index = counts.entries + guard;
+            actions.push((now_ms, FaultAction::LimitTarget(index, per_s)));
+            actions.push((end_ms, FaultAction::LiftLimit(index)));
+        }
+        now_ms += rng.random_range(LIMIT_INTERVAL_MS);
+    }
+    actions
+}
+
 /// Draws a fault of a component: the action that starts it and the one that ends it. Silenced
 /// connections stay silent, so that fault has no end.
 fn draw_fault(
--- a/tests/support/soak_callers.rs
+++ b/tests/support/soak_callers.rs
@@ -100,7 +100,7 @@
         if number.is_multiple_of(PAYMENT_EVERY) {
             observed.payments.push(pay(entries, turn, number));
         } else {
-            look_up(entries[turn % entries.len()], number, &mut observed);
+            look_up(entries, turn % entries.len(), number, &mut observed);
         }
         std::thread::sleep(REQUEST_PAUSE);
     }
@@ -108,10 +108,11 @@
 }
 
 /// Sends a lookup with a unique body, which a correct answer echoes.
-fn look_up(entry: SocketAddr, number: u64, observed: &mut Observations) {
+fn look_up(entries: &[SocketAddr], index: usize, number: u64, observed: &mut Observations) {
     observed.lookups += 1;
     let body = format!("lookup {number}");
-    let Ok(reply) = send(entry, "PUT", "/lookups/free", "", &body) else {
+    let path = format!("/lookups/free?entry={index}");
+    let Ok(reply) = send(entries[index], "PUT", &path, "", &body) else {
         return;
     };
     if reply.verdict != "ran" || reply.status != 200 {
@@ -134,16 +135,18 @@
     let mut last_verdict = "none".to_string();
     let mut ticket: Option<String> = None;
     for attempt in 0..ATTEMPTS_MAX as usize {
-        let entry = entries[(turn + attempt) % entries.len()];
+        let index = (turn + attempt) % entries.len();
+        let entry = entries[index];
+        let path = format!("/payouts/pay?entry={index}");
         if ticket.is_none() {
-            let response = send(entry, "POST", "/payouts/pay", "", "");
+            let response = send(entry, "POST", &path, "", "");
             ticket = response.ok().and_then(|reply| reply.ticket);
         }
         let Some(ticket) = &ticket else {
             continue;
         };
         let header = format!("x-dragonflylug-ticket: {ticket}\r\n");
-        last_verdict = match send(entry, "POST", "/payouts/pay", &header, &body) {
+        last_verdict = match send(entry, "POST", &path, &header, &body) {
             Ok(reply) => reply.verdict,
             Err(_) => "broken".to_string(),
         };
