--- a/src/pressure/shed.rs
+++ b/src/pressure/shed.rs
@@ -59,13 +59,19 @@
     pub pressure_permille: u16,
 }
 
-/// Returns the share of such requests to shed beside the target, so that together with what the
-/// entry daemon shed it is the share at the present pressure.
+/// The difference of pressure from which on an entry daemon counts as not informed.
+const OUTDATED_BY: f64 = 0.1;
+
+/// Returns the share of such requests to shed beside the target if the entry daemon is not informed
+/// of the pressure, so that together with what it shed it is the share at the present pressure.
 ///
 /// The pressure travels with replies. Where requests wait so long that no reply comes in time, entry
 /// daemons would otherwise not learn of it.
 pub fn missed_share(pressure: f64, basis: ShedBasis) -> f64 {
     let known_pressure = f64::from(basis.pressure_permille) / 1_000.0;
+    if pressure < known_pressure + OUTDATED_BY {
+        return 0.0;
+    }
     let shed_before = shed_share(known_pressure, basis.request);
     let missed = shed_share(pressure, basis.request) - shed_before;
     (missed / (1.0 - shed_before)).max(0.0)
