Log the end of a rate limit only after one, and forget a silent target without an identifier

Cause: the first answer of each start logged that the target names no limit any more; a target that announces itself without an identifier and said that it leaves was not used again after its restart either. Change: a change is one of the limit itself; after silence nothing of a target without an identifier is kept. The gauge follows the admission, so also a new start. Measured: two cases of tests/target_condition.rs, which failed or had no method before.

--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -296,6 +296,7 @@
             }
             Notice::TargetSilent => {
                 self.target = None;
+                self.record_silence(context);
                 self.update_leaving(context);
                 context.log(StateChange::new(
                     "guard",
--- a/src/calls/guard/condition.rs
+++ b/src/calls/guard/condition.rs
@@ -70,6 +70,15 @@
         }
     }
 
+    /// Records that the target stopped announcing itself.
+    pub(super) fn record_silence(&mut self, context: &mut Context<'_>) {
+        let before = self.condition.condition().rate_limit;
+        self.condition.record_silence(context.now_us());
+        if self.condition.condition().rate_limit != before {
+            self.apply_rate_limit(context);
+        }
+    }
+
     /// Records an announcement; what a former start said does not apply to another one.
     pub(super) fn record_announcement(
         &mut self,
@@ -87,6 +96,11 @@
     fn apply_rate_limit(&mut self, context: &mut Context<'_>) {
         let now_us = context.now_us();
         let rate_limit = self.condition.condition().rate_limit;
+        let limit_per_s = match rate_limit {
+            RateLimitState::Limited(rate) => rate.per_s(),
+            RateLimitState::Unknown | RateLimitState::Unlimited => f64::INFINITY,
+        };
+        context.set_gauge(Gauge::TargetRateLimit, limit_per_s);
         if let Some(admission) = context.find::<Admission>(admission::NAME) {
             admission.set_rate_limit(now_us, rate_limit);
         }
@@ -103,11 +117,6 @@
         let instance = condition.start.instance.as_ref();
         let instance = instance.map_or("the target", |instance| instance.as_str());
         if change.is_rate_limit_changed {
-            let limit_per_s = match condition.rate_limit {
-                RateLimitState::Limited(rate) => rate.per_s(),
-                _ => f64::INFINITY,
-            };
-            context.set_gauge(Gauge::TargetRateLimit, limit_per_s);
             let what = match condition.rate_limit {
                 RateLimitState::Limited(_) => "the target names a rate limit",
                 _ => "the target names no rate limit any more",
--- a/src/target/condition.rs
+++ b/src/target/condition.rs
@@ -21,6 +21,14 @@
 }
 
 impl RateLimitState {
+    /// Returns the limit, if there is one.
+    fn limit(self) -> Option<RequestRate> {
+        match self {
+            Self::Limited(rate) => Some(rate),
+            Self::Unknown | Self::Unlimited => None,
+        }
+    }
+
     /// Returns whether the target is not known to accept only this rate or less.
     fn is_above(self, rate: RequestRate) -> bool {
         match self {
@@ -114,15 +122,7 @@
             started_at_ms: announcement.started_at_ms,
         };
         if self.is_other_start(&start, announcement.is_draining) {
-            *self = Self {
-                since_us: now_us,
-                limited_at_us: now_us,
-                is_rate_observed: false,
-                condition: TargetCondition {
-                    revision: self.condition.revision + 1,
-                    ..TargetCondition::default()
-                },
-            };
+            self.begin_start(now_us);
         }
         let started_at_ms = start.started_at_ms.or(self.condition.start.started_at_ms);
         self.condition.start = TargetStart {
@@ -140,6 +140,27 @@
         !current.may_be(start) || (is_later_start && has_left)
     }
 
+    /// Records that the target stopped announcing itself. Without an identifier its next announcement
+    /// cannot be told from that of another start, so nothing of this one is kept.
+    pub fn record_silence(&mut self, now_us: u64) {
+        if self.condition.start.instance.is_none() {
+            self.begin_start(now_us);
+        }
+    }
+
+    /// Forgets what the former start said.
+    fn begin_start(&mut self, now_us: u64) {
+        *self = Self {
+            since_us: now_us,
+            limited_at_us: now_us,
+            is_rate_observed: false,
+            condition: TargetCondition {
+                revision: self.condition.revision + 1,
+                ..TargetCondition::default()
+            },
+        };
+    }
+
     /// Records what an answer to a request said that was sent at `sent_us`.
     ///
     /// An answer without a limit lifts one only if its request was sent after the latest answer that
@@ -193,13 +214,13 @@
     }
 
     fn change_since(&mut self, before: (RateLimitState, bool)) -> ConditionChange {
-        let change = ConditionChange {
-            is_rate_limit_changed: before.0 != self.condition.rate_limit,
-            has_begun_to_leave: before.1 != self.condition.is_leaving,
-        };
-        if change != ConditionChange::default() {
+        let now = (self.condition.rate_limit, self.condition.is_leaving);
+        if before != now {
             self.condition.revision += 1;
         }
-        change
+        ConditionChange {
+            is_rate_limit_changed: before.0.limit() != now.0.limit(),
+            has_begun_to_leave: before.1 != now.1,
+        }
     }
 }
--- a/tests/target_condition.rs
+++ b/tests/target_condition.rs
@@ -220,3 +220,31 @@
     tracker.record_signals(3_000, 1_000, signals(RateLimitSignal::Unlimited));
     assert!(is_limited(&tracker));
 }
+
+#[test]
+fn target_without_an_identifier_is_never_used_again_after_its_answers_said_that_it_leaves() {
+    let nameless = Announcement {
+        instance: None,
+        ..announcement("", None)
+    };
+    let mut tracker = ConditionTracker::default();
+    tracker.record_announcement(0, &nameless);
+    let leaving = AnswerSignals {
+        is_leaving: true,
+        ..AnswerSignals::default()
+    };
+    tracker.record_signals(1_000, 500, leaving);
+    tracker.record_announcement(2_000, &nameless);
+    assert!(tracker.condition().is_leaving);
+    tracker.record_silence(3_000);
+    tracker.record_announcement(4_000, &nameless);
+    assert!(tracker.condition().is_ordinary());
+}
+
+#[test]
+fn first_answer_without_a_limit_counts_as_the_end_of_one() {
+    let mut tracker = restarted_tracker();
+    let change = tracker.record_signals(1_000, 500, signals(RateLimitSignal::Unlimited));
+    assert!(!change.is_rate_limit_changed);
+    assert_eq!(tracker.condition().rate_limit, RateLimitState::Unlimited);
+}
