Bound the head of a response, and tidy what the limit added

Trace: the entry's link to the guard was given up after 416 ms (outcome connection_lost); the guard got no processor for the 300 ms of a ping. Three cases ran at once, and a head without end was parsed anew with each part up to 400 KB. The wait that counts in the pressure moved into the pacer, and the condition is compared as a whole; no decision changed.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -142,12 +142,6 @@
 /// The maximum retry-after time of a refusal.
 const RETRY_AFTER_MAX_MS: u32 = 10_000;
 
-/// The set point of the wait under a rate limit, in calls that wait, if that is the longer one.
-const PACED_AIM_CALLS: f64 = 2.0;
-
-/// The maximum wait that counts in the pressure under a rate limit, as a multiple of the set point.
-const PACED_WAIT_MAX: f64 = 2.5;
-
 /// A call at the target.
 struct RunningCall {
     started_us: u64,
@@ -300,21 +294,14 @@
     fn observe_refusal(&mut self, now_us: u64, kind: WorkKind) {
         let wait_us = self.expected_wait_us(now_us, self.queue.len());
         let min_wait_us = u64::from(self.settings.queue_wait_max_ms) * 1_000;
-        let wait_us = self.comparable_wait_us(now_us, wait_us.max(min_wait_us));
+        let wait_us = self.pressure_wait_us(now_us, wait_us.max(min_wait_us));
         self.pressure.observe_wait(now_us, kind, wait_us);
     }
 
-    /// Returns a wait as it counts in the pressure. Under a low rate limit, where a few calls that
-    /// arrive together wait for long, a wait counts in proportion to a higher set point and at most
-    /// as a multiple of it, so that the pressure does not oscillate.
-    fn comparable_wait_us(&self, now_us: u64, wait_us: u64) -> u64 {
-        let Some(per_s) = self.pacer.rate_per_s(now_us) else {
-            return wait_us;
-        };
-        let aim_us = f64::from(self.settings.pressure.wait_aim_ms) * 1_000.0;
-        let paced_aim_us = PACED_AIM_CALLS / per_s * 1_000_000.0;
-        let comparable_us = wait_us as f64 * (aim_us / paced_aim_us).min(1.0);
-        comparable_us.min(PACED_WAIT_MAX * aim_us) as u64
+    /// Returns a wait as it counts in the pressure.
+    fn pressure_wait_us(&self, now_us: u64, wait_us: u64) -> u64 {
+        let aim_us = u64::from(self.settings.pressure.wait_aim_ms) * 1_000;
+        self.pacer.pressure_wait_us(now_us, wait_us, aim_us)
     }
 
     /// Returns the load that the guard reports to entry daemons, without `is_leaving` and the
@@ -457,7 +444,7 @@
                 break;
             };
             let wait_us = now_us.saturating_sub(first.queued_us);
-            let wait_us = self.comparable_wait_us(now_us, wait_us);
+            let wait_us = self.pressure_wait_us(now_us, wait_us);
             self.pressure.observe_wait(now_us, first.kind, wait_us);
             self.start(now_us, first.call, first.rank.priority, first.kind);
             dequeued.started.push(first.call);
--- a/src/admission/pacer.rs
+++ b/src/admission/pacer.rs
@@ -16,6 +16,12 @@
 const RELEASE_FROM_PER_S: f64 = 1.0;
 const RELEASE_UNTIL_PER_S: f64 = 10_000.0;
 
+/// The set point of the wait under a rate limit, in calls that wait, if that is the longer one.
+const PACED_AIM_CALLS: f64 = 2.0;
+
+/// The maximum wait that counts in the pressure under a rate limit, as a multiple of the set point.
+const PACED_WAIT_MAX: f64 = 2.5;
+
 /// The tolerance of a whole token for rounding errors.
 const TOKEN_TOLERANCE: f64 = 1e-6;
 
@@ -106,20 +112,29 @@
         Some(per_s).filter(|per_s| !is_released || *per_s < RELEASE_UNTIL_PER_S)
     }
 
-    fn tokens_at(&self, now_us: u64) -> f64 {
+    /// Returns a wait as it counts in the pressure, whose set point is `aim_us`.
+    ///
+    /// Under a low rate limit a few calls that arrive together wait for long. Their wait counts in
+    /// proportion to a higher set point and with a bound, so that the pressure does not oscillate.
+    pub(super) fn pressure_wait_us(&self, now_us: u64, wait_us: u64, aim_us: u64) -> u64 {
         let Some(per_s) = self.rate_per_s(now_us) else {
+            return wait_us;
+        };
+        let aim_us = aim_us as f64;
+        let paced_aim_us = PACED_AIM_CALLS / per_s * 1_000_000.0;
+        let comparable_us = wait_us as f64 * (aim_us / paced_aim_us).min(1.0);
+        comparable_us.min(PACED_WAIT_MAX * aim_us) as u64
+    }
+
+    /// Returns the tokens at a time. While the rate rises, that of the last update counts.
+    fn tokens_at(&self, now_us: u64) -> f64 {
+        let (Some(per_s), Some(updated_per_s)) =
+            (self.rate_per_s(now_us), self.rate_per_s(self.updated_us))
+        else {
             return 0.0;
         };
         let elapsed_s = now_us.saturating_sub(self.updated_us) as f64 / 1_000_000.0;
-        let arrived = match self.pace {
-            Pace::Released { from_per_s, .. } => {
-                // A raised rate applies only to the time since it was raised: take the lower one.
-                let before = self.rate_per_s(self.updated_us).unwrap_or(from_per_s);
-                elapsed_s * before
-            }
-            _ => elapsed_s * per_s,
-        };
-        (self.tokens + arrived).min(burst(per_s))
+        (self.tokens + elapsed_s * updated_per_s).min(burst(per_s))
     }
 
     fn advance(&mut self, now_us: u64) {
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -11,7 +11,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::client::conn::http1::{SendRequest, handshake};
+use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
 use hyper_util::rt::TokioIo;
@@ -28,6 +28,10 @@
 /// How long to wait until a connection is ready for reuse after its response was read.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// The maximum size of the head of a response, and of the part of a body that is read at once. A head
+/// is parsed anew with each part of it, so that one without end costs time as well.
+const HEAD_BYTES_MAX: usize = 64 * 1024;
+
 /// The number of unanswered TCP keepalive probes after which a connection is dropped.
 const KEEPALIVE_PROBES: u32 = 2;
 
@@ -255,7 +259,10 @@
             return Err(ExchangeError::NotSent);
         };
         set_tcp_options(&stream, self.settings.keepalive_period);
-        let Ok((sender, connection)) = handshake(TokioIo::new(stream)).await else {
+        let handshake = Builder::new()
+            .max_buf_size(HEAD_BYTES_MAX)
+            .handshake(TokioIo::new(stream));
+        let Ok((sender, connection)) = handshake.await else {
             return Err(ExchangeError::NotSent);
         };
         let driver = tokio::spawn(async move {
--- a/src/target/condition.rs
+++ b/src/target/condition.rs
@@ -174,7 +174,7 @@
         if sent_us < self.since_us {
             return ConditionChange::default();
         }
-        let before = (self.condition.rate_limit, self.condition.is_leaving);
+        let before = self.condition.clone();
         match signals.rate_limit {
             RateLimitSignal::Limited(rate) => {
                 self.limited_at_us = now_us;
@@ -188,7 +188,7 @@
             _ => {}
         }
         self.condition.is_leaving |= signals.is_leaving;
-        self.change_since(before)
+        self.change_since(&before)
     }
 
     /// Records what another daemon was told of this start, unless an answer to this daemon said
@@ -197,7 +197,7 @@
         if !self.condition.start.may_be(&known.start) {
             return ConditionChange::default();
         }
-        let before = (self.condition.rate_limit, self.condition.is_leaving);
+        let before = self.condition.clone();
         if let RateLimitState::Limited(rate) = known.rate_limit
             && !self.is_rate_observed
             && self.condition.rate_limit.is_above(rate)
@@ -210,17 +210,16 @@
             let started_at_ms = self.condition.start.started_at_ms;
             self.condition.start.started_at_ms = started_at_ms.or(known.start.started_at_ms);
         }
-        self.change_since(before)
+        self.change_since(&before)
     }
 
-    fn change_since(&mut self, before: (RateLimitState, bool)) -> ConditionChange {
-        let now = (self.condition.rate_limit, self.condition.is_leaving);
-        if before != now {
+    fn change_since(&mut self, before: &TargetCondition) -> ConditionChange {
+        if *before != self.condition {
             self.condition.revision += 1;
         }
         ConditionChange {
-            is_rate_limit_changed: before.0.limit() != now.0.limit(),
-            has_begun_to_leave: before.1 != now.1,
+            is_rate_limit_changed: before.rate_limit.limit() != self.condition.rate_limit.limit(),
+            has_begun_to_leave: before.is_leaving != self.condition.is_leaving,
         }
     }
 }
