Serve callers that send further requests before the first is answered

Cause: one connection was served by one service function of hyper, so a request sent ahead was not read as one until the first had been answered: its deadline ran in the buffer, and a caller that went away was not noticed. Change: a connection of our own over httparse. Requests are read as they arrive, idempotent ones run side by side up to a bound for each connection and for the process, and responses go out in the order of the requests. Only the response to the last started request closes the connection; what is behind it was not started. A request whose deadline has passed before it starts is refused as not run instead of being sent.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -10,6 +10,7 @@
 mod shed;
 mod tickets;
 
+pub use plan::is_idempotent;
 pub use shed::jittered_retry_after_ms;
 
 use std::net::SocketAddr;
@@ -236,6 +237,10 @@
             return;
         }
         let left_us = deadline_us.saturating_sub(context.now_us());
+        if left_us == 0 {
+            self.finish_at_deadline(context, key);
+            return;
+        }
         context.set_timer(left_us, TimerKind::Deadline.tag(key));
         self.begin_attempts(context, key);
     }
--- a/src/calls/entry/plan.rs
+++ b/src/calls/entry/plan.rs
@@ -6,7 +6,7 @@
 use crate::calls::guard::{self, Guard, Parent};
 use crate::config::{self, Config, Policy};
 use crate::ids::{Priority, RequestId, RootId, ServiceName};
-use crate::kernel::Context;
+use crate::kernel::{Context, Kernel};
 use crate::request::{CallRequest, RunKey};
 use crate::retry::{self, Allowance, CallerBudgets, ServiceBudgets};
 use crate::run_once;
@@ -158,13 +158,30 @@
     }
     Policy {
         priority: Priority::Normal,
-        is_idempotent: IDEMPOTENT_METHODS.binary_search(&method).is_ok(),
+        is_idempotent: is_idempotent_method(method),
         retries: settings.retries,
         deadline_ms: settings.deadline_ms,
         hedge_after_ms: 0,
     }
 }
 
+/// Returns whether a request may run more than once, by its route, its service record or its method.
+pub fn is_idempotent(kernel: &mut Kernel, request: &CallRequest) -> bool {
+    if let Some(routed) = &request.routed {
+        return routed.terms.policy().is_idempotent;
+    }
+    let (method, path) = (request.http.method.as_str(), request.http.path.as_str());
+    let config = kernel.find::<Config>(config::NAME);
+    match config.and_then(|config| config.policy(&request.service, method, path)) {
+        Some(policy) => policy.is_idempotent,
+        None => is_idempotent_method(method),
+    }
+}
+
+fn is_idempotent_method(method: &str) -> bool {
+    IDEMPOTENT_METHODS.binary_search(&method).is_ok()
+}
+
 fn find_parent(context: &mut Context<'_>, request: &CallRequest) -> Option<Parent> {
     let parent = request.parent?;
     if !request.is_from_target {
--- a/src/host.rs
+++ b/src/host.rs
@@ -232,10 +232,9 @@
         *self.stop_requested.borrow()
     }
 
-    /// Waits until a graceful shutdown begins.
-    pub async fn stop_requested(&self) {
-        let mut requested = self.stop_requested.subscribe();
-        let _ = requested.wait_for(|requested| *requested).await;
+    /// Returns a receiver that holds whether a graceful shutdown has begun.
+    pub fn watch_stop(&self) -> watch::Receiver<bool> {
+        self.stop_requested.subscribe()
     }
 
     /// Waits until a graceful shutdown has finished all work.
--- a/src/host/caller.rs
+++ b/src/host/caller.rs
@@ -3,19 +3,27 @@
 //! A server limits connections, body sizes and read times, so that slow or excessive clients
 //! cannot exhaust the daemon, and passes each call to the entry of its node.
 
+pub mod body_decoder;
+mod connection;
+pub mod message_head;
+pub mod pipeline;
+pub mod request_reader;
+pub mod response_encoder;
+
+use std::future::Future;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicBool, Ordering};
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full, LengthLimitError, Limited};
-use hyper::body::{Body, Incoming};
-use hyper::header::{CONNECTION, HeaderName, HeaderValue};
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::header::HeaderValue;
 use hyper::http::request::Parts;
 use hyper::service::service_fn;
 use hyper::{Method, Request, Response};
-use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::rt::TokioIo;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::{OwnedSemaphorePermit, Semaphore};
 
@@ -29,9 +37,8 @@
 use crate::request::CallRequest;
 use crate::target::Announcement;
 use crate::verdict::{RefusalReason, Verdict};
-
-/// The response header that advertises to a caller how long it may keep an idle connection.
-const KEEP_ALIVE: HeaderName = HeaderName::from_static("keep-alive");
+use connection::Connection;
+use request_reader::{BodyLimits, to_kilobytes};
 
 /// The path to which targets post their announcements.
 const ANNOUNCE_PATH: &str = "/announce";
@@ -42,9 +49,6 @@
 /// How often the server checks that the target still announces itself.
 const TARGET_CHECK_PERIOD: Duration = Duration::from_secs(1);
 
-/// The size that is reserved for a body whose length is not declared.
-const UNKNOWN_BODY_BYTES: u64 = 1024 * 1024;
-
 /// The difference between the server's idle timeout and the shorter one that it advertises to
 /// callers, so that a request sent at the last moment still has time to arrive.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_secs(3);
@@ -65,6 +69,12 @@
     /// The maximum total size of the request bodies in memory; a request whose body does not fit is
     /// answered with 503.
     pub bodies_bytes_max: usize,
+    /// The maximum number of requests of one connection that run at the same time; further ones are
+    /// not read until the oldest is answered.
+    pub pipelined_per_connection_max: usize,
+    /// The maximum number of requests, over all connections, that run while an earlier request of
+    /// the same connection is not answered. A further one runs after those before it.
+    pub pipelined_max: usize,
 }
 
 impl Default for CallerLimits {
@@ -75,6 +85,8 @@
             read_timeout: Duration::from_secs(10),
             idle_timeout: Duration::from_secs(10),
             bodies_bytes_max: 256 * 1024 * 1024,
+            pipelined_per_connection_max: 16,
+            pipelined_max: 1_000,
         }
     }
 }
@@ -113,11 +125,11 @@
     ) -> Result<CallRequest, Rejection>;
 
     /// Encodes the reply to a call.
-    fn encode_reply(&self, reply: CallReply) -> Response<Full<Bytes>>;
+    fn encode_reply(&self, reply: CallReply) -> Response<Bytes>;
 
     /// Encodes the response to a rejected request: one that is not a valid call, whose body is too
     /// large, late or does not fit into memory, or that got no reply before the daemon stopped.
-    fn encode_rejection(&self, rejection: &Rejection) -> Response<Full<Bytes>>;
+    fn encode_rejection(&self, rejection: &Rejection) -> Response<Bytes>;
 }
 
 /// An HTTP server that passes the calls of callers, or the calls and announcements of the target,
@@ -127,6 +139,7 @@
     limits: CallerLimits,
     connections: Arc<Semaphore>,
     bodies: Arc<Semaphore>,
+    pipelined: Arc<Semaphore>,
     codec: Arc<dyn CallCodec>,
     target: Option<Arc<TargetClient>>,
     keeps_connections_alive: AtomicBool,
@@ -143,11 +156,13 @@
     ) -> Arc<Self> {
         let bodies = Arc::new(Semaphore::new(to_kilobytes(limits.bodies_bytes_max)));
         let connections = Arc::new(Semaphore::new(limits.connections_max));
+        let pipelined = Arc::new(Semaphore::new(limits.pipelined_max));
         Arc::new(Self {
             node,
             limits,
             connections,
             bodies,
+            pipelined,
             codec,
             target,
             keeps_connections_alive: AtomicBool::new(true),
@@ -190,25 +205,7 @@
     }
 
     async fn serve_connection(self: Arc<Self>, stream: TcpStream, permit: OwnedSemaphorePermit) {
-        let server = Arc::clone(&self);
-        let service = service_fn(move |request| {
-            let server = Arc::clone(&server);
-            async move { Ok::<_, std::convert::Infallible>(server.respond(request).await) }
-        });
-        let is_stopping = self.node.is_stopping();
-        let connection = hyper::server::conn::http1::Builder::new()
-            .timer(TokioTimer::new())
-            .header_read_timeout(self.limits.head_timeout())
-            .keep_alive(!is_stopping)
-            .serve_connection(TokioIo::new(stream), service);
-        let mut connection = std::pin::pin!(connection);
-        tokio::select! {
-            _ = connection.as_mut() => {}
-            () = self.node.stop_requested(), if !is_stopping => {
-                connection.as_mut().graceful_shutdown();
-                let _ = connection.await;
-            }
-        }
+        Connection::new(self, stream).serve().await;
         drop(permit);
     }
 
@@ -231,7 +228,7 @@
                 retries_left: 0,
                 tickets: Vec::new(),
             };
-            let response = codec.encode_reply(reply);
+            let response = codec.encode_reply(reply).map(Full::new);
             async { Ok::<_, std::convert::Infallible>(response) }
         });
         let connection = hyper::server::conn::http1::Builder::new()
@@ -240,42 +237,42 @@
         let _ = tokio::time::timeout(self.limits.read_timeout, connection).await;
     }
 
-    async fn respond(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let mut response = self.route_request(request).await;
-        if self.node.is_stopping() || !self.keeps_connections_alive.load(Ordering::Relaxed) {
-            let close = HeaderValue::from_static("close");
-            response.headers_mut().insert(CONNECTION, close);
-        } else if let Some(keep_alive) = self.limits.keep_alive() {
-            response.headers_mut().insert(KEEP_ALIVE, keep_alive);
-        }
-        response
+    /// Returns whether each connection closes as soon as the requests on it are answered.
+    fn is_draining(&self) -> bool {
+        self.node.is_stopping() || !self.keeps_connections_alive.load(Ordering::Relaxed)
     }
 
-    async fn route_request(&self, request: Request<Incoming>) -> Response<Full<Bytes>> {
-        let is_announcement = self.target.is_some()
-            && request.method() == Method::POST
-            && request.uri().path() == ANNOUNCE_PATH;
-        let (parts, body) = request.into_parts();
-        let (body, _size_permit) = match self.read_body(body).await {
-            Ok(body) => body,
-            Err(rejection) => return self.reject(&rejection),
-        };
-        if is_announcement {
-            return self.handle_announcement(&body);
+    fn body_limits(&self) -> BodyLimits {
+        BodyLimits {
+            body_bytes_max: self.limits.body_bytes_max,
+            memory: Arc::clone(&self.bodies),
+            timeout: self.limits.read_timeout,
         }
+    }
+
+    /// Decodes a call. The error is the response to a request that starts no call: an announcement
+    /// of the target, or one that is rejected.
+    fn decode(&self, head: &Parts, body: Bytes) -> Result<CallRequest, Box<Response<Bytes>>> {
         let is_from_target = self.target.is_some();
-        match self
-            .codec
-            .decode_call(&self.node, &parts, body, is_from_target)
-        {
-            Ok(request) => self.call(request).await,
-            Err(rejection) => self.reject(&rejection),
+        if is_from_target && head.method == Method::POST && head.uri.path() == ANNOUNCE_PATH {
+            return Err(Box::new(self.handle_announcement(&body)));
         }
+        let decoded = self
+            .codec
+            .decode_call(&self.node, head, body, is_from_target);
+        decoded.map_err(|rejection| Box::new(self.reject(&rejection)))
     }
 
-    async fn call(&self, request: CallRequest) -> Response<Full<Bytes>> {
+    /// Returns whether a request may run more than once, and therefore beside others.
+    fn is_idempotent(&self, request: &CallRequest) -> bool {
+        self.node
+            .inspect(|kernel| entry::is_idempotent(kernel, request))
+    }
+
+    /// Starts a call at once and returns the future of its response; dropping it cancels the call.
+    fn start_call(self: Arc<Self>, request: CallRequest) -> impl Future<Output = Response<Bytes>> {
         let (key, receiver) = self.node.open_call();
-        let _cancel = CancelOnDrop {
+        let cancel = CancelOnDrop {
             node: Arc::clone(&self.node),
             key,
         };
@@ -284,59 +281,23 @@
             request: Box::new(request),
         };
         self.node.submit(Input::Event(entry::NAME, event));
-        match receiver.await {
-            Ok(reply) => self.codec.encode_reply(reply),
-            Err(_) => self.reject(&Rejection::new("the daemon stopped before it replied")),
-        }
-    }
-
-    /// Reads a body and returns it with the permits for its size, one per kilobyte, which are held
-    /// until the request has been answered.
-    ///
-    /// Fails with 503 and the reason `too_large` if the total size of bodies is at its limit.
-    async fn read_body(&self, body: Incoming) -> Result<(Bytes, OwnedSemaphorePermit), Rejection> {
-        let expected_bytes = body.size_hint().exact().unwrap_or(UNKNOWN_BODY_BYTES);
-        let expected_bytes = usize::try_from(expected_bytes).unwrap_or(usize::MAX);
-        let reserved_bytes = expected_bytes.min(self.limits.body_bytes_max);
-        let permits = u32::try_from(to_kilobytes(reserved_bytes)).unwrap_or(u32::MAX);
-        let Ok(size_permit) = Arc::clone(&self.bodies).try_acquire_many_owned(permits) else {
-            return Err(Rejection {
-                status: 503,
-                reason: RefusalReason::TooLarge,
-                message: "too many request bodies in memory".into(),
-            });
-        };
-        Ok((self.collect_body(body).await?, size_permit))
-    }
-
-    async fn collect_body(&self, body: Incoming) -> Result<Bytes, Rejection> {
-        let limited = Limited::new(body, self.limits.body_bytes_max);
-        let collected = tokio::time::timeout(self.limits.read_timeout, limited.collect()).await;
-        let Ok(collected) = collected else {
-            return Err(Rejection::new("the body did not arrive in time"));
-        };
-        match collected {
-            Ok(body) => Ok(body.to_bytes()),
-            Err(error) if error.is::<LengthLimitError>() => Err(Rejection {
-                status: 413,
-                reason: RefusalReason::TooLarge,
-                message: format!(
-                    "the body may have at most {} bytes",
-                    self.limits.body_bytes_max
-                ),
-            }),
-            Err(_) => Err(Rejection::new("the body could not be read completely")),
+        async move {
+            let _cancel = cancel;
+            match receiver.await {
+                Ok(reply) => self.codec.encode_reply(reply),
+                Err(_) => self.reject(&Rejection::new("the daemon stopped before it replied")),
+            }
         }
     }
 
-    fn reject(&self, rejection: &Rejection) -> Response<Full<Bytes>> {
+    fn reject(&self, rejection: &Rejection) -> Response<Bytes> {
         self.node
             .metrics()
             .add(Counter::refusal(rejection.reason), 1);
         self.codec.encode_rejection(rejection)
     }
 
-    fn handle_announcement(&self, body: &[u8]) -> Response<Full<Bytes>> {
+    fn handle_announcement(&self, body: &[u8]) -> Response<Bytes> {
         let announcement: Announcement = match serde_json::from_slice(body) {
             Ok(announcement) => announcement,
             Err(error) => {
@@ -357,7 +318,7 @@
             self.node
                 .submit(Input::Notice(Notice::TargetAnnounced(announcement)));
         }
-        Response::new(Full::default())
+        Response::default()
     }
 }
 
@@ -365,11 +326,7 @@
     address.ip().is_loopback()
 }
 
-fn to_kilobytes(bytes: usize) -> usize {
-    bytes.div_ceil(1_024)
-}
-
-/// Cancels a call on drop, unless it was replied to: hyper drops the response future when the
+/// Cancels a call on drop, unless it was replied to: the future of the response is dropped when the
 /// caller disconnects.
 struct CancelOnDrop {
     node: Arc<Node>,
--- a/src/host/daemon.rs
+++ b/src/host/daemon.rs
@@ -208,6 +208,8 @@
         body_bytes_max: settings.body_bytes_max,
         read_timeout: Duration::from_millis(settings.read_timeout_ms),
         idle_timeout: Duration::from_millis(settings.idle_timeout_ms),
+        pipelined_per_connection_max: settings.pipelined_per_connection_max,
+        pipelined_max: settings.pipelined_max,
         ..CallerLimits::default()
     }
 }
--- a/src/host/http.rs
+++ b/src/host/http.rs
@@ -1,7 +1,6 @@
 //! The native HTTP representation of calls and verdicts.
 
 use bytes::Bytes;
-use http_body_util::Full;
 use hyper::header::{CONTENT_TYPE, HeaderMap, HeaderName, HeaderValue, RETRY_AFTER};
 use hyper::http::request::Parts;
 use hyper::{Response, StatusCode};
@@ -71,11 +70,11 @@
         decode_call(&head.method, &head.uri, &head.headers, body, is_from_target)
     }
 
-    fn encode_reply(&self, reply: CallReply) -> Response<Full<Bytes>> {
+    fn encode_reply(&self, reply: CallReply) -> Response<Bytes> {
         encode_reply(reply)
     }
 
-    fn encode_rejection(&self, rejection: &Rejection) -> Response<Full<Bytes>> {
+    fn encode_rejection(&self, rejection: &Rejection) -> Response<Bytes> {
         encode_rejection(rejection)
     }
 }
@@ -227,7 +226,7 @@
 }
 
 /// Encodes the reply to a call.
-pub fn encode_reply(reply: CallReply) -> Response<Full<Bytes>> {
+pub fn encode_reply(reply: CallReply) -> Response<Bytes> {
     let mut response = match &reply.verdict {
         Verdict::Ran(answer) => encode_answer(answer),
         Verdict::NotRun(refusal) => {
@@ -253,7 +252,7 @@
 }
 
 /// Encodes the response to a rejected request, with the verdict "not run".
-pub fn encode_rejection(rejection: &Rejection) -> Response<Full<Bytes>> {
+pub fn encode_rejection(rejection: &Rejection) -> Response<Bytes> {
     let verdict = Verdict::not_run(rejection.reason, 0);
     let status = StatusCode::from_u16(rejection.status).unwrap_or(StatusCode::BAD_REQUEST);
     let mut response = encode_error_body(status, &verdict, &rejection.message);
@@ -269,8 +268,8 @@
     list.join(",")
 }
 
-fn encode_answer(answer: &Answer) -> Response<Full<Bytes>> {
-    let mut response = Response::new(Full::new(answer.body.clone()));
+fn encode_answer(answer: &Answer) -> Response<Bytes> {
+    let mut response = Response::new(answer.body.clone());
     *response.status_mut() = StatusCode::from_u16(answer.status).unwrap_or(StatusCode::BAD_GATEWAY);
     for header in &answer.headers {
         append_header(response.headers_mut(), &header.name, &header.value);
@@ -278,11 +277,7 @@
     response
 }
 
-fn encode_error_body(
-    status: StatusCode,
-    verdict: &Verdict,
-    message: &str,
-) -> Response<Full<Bytes>> {
+fn encode_error_body(status: StatusCode, verdict: &Verdict, message: &str) -> Response<Bytes> {
     let (reason, retry_after_ms) = match verdict {
         Verdict::Ran(_) => ("", 0),
         Verdict::NotRun(refusal) => (refusal.reason.code(), refusal.retry_after_ms),
@@ -295,7 +290,7 @@
         message,
     };
     let body = serde_json::to_vec(&body).unwrap_or_default();
-    let mut response = Response::new(Full::new(Bytes::from(body)));
+    let mut response = Response::new(Bytes::from(body));
     *response.status_mut() = status;
     let header_map = response.headers_mut();
     header_map.insert(CONTENT_TYPE, HeaderValue::from_static("application/json"));
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -128,6 +128,8 @@
             read_timeout: Duration::from_millis(settings.node.read_timeout_ms),
             idle_timeout: Duration::from_millis(settings.node.idle_timeout_ms),
             bodies_bytes_max: settings.bodies_bytes_max,
+            pipelined_per_connection_max: settings.node.pipelined_per_connection_max,
+            pipelined_max: settings.node.pipelined_max,
         };
         let caller_server = CallerServer::new(Arc::clone(&node), limits, codec, None);
         let target_settings = TargetSettings {
--- a/src/request.rs
+++ b/src/request.rs
@@ -114,6 +114,25 @@
     pub routed: Option<RouteMatch>,
 }
 
+impl CallRequest {
+    /// Shortens the time left, which the route's timeout bounds, by the time that the request has
+    /// already waited.
+    pub fn shorten_deadline(&mut self, waited_ms: u32) {
+        if waited_ms == 0 {
+            return;
+        }
+        let timeout_ms = self
+            .routed
+            .as_ref()
+            .map(|routed| routed.terms.policy().deadline_ms);
+        let left_ms = match (self.deadline_left_ms, timeout_ms) {
+            (Some(left_ms), Some(timeout_ms)) => Some(left_ms.min(timeout_ms)),
+            (left_ms, timeout_ms) => left_ms.or(timeout_ms),
+        };
+        self.deadline_left_ms = left_ms.map(|left_ms| left_ms.saturating_sub(waited_ms));
+    }
+}
+
 /// The match of a request with a route.
 #[apply(message!)]
 pub struct RouteMatch {
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -55,6 +55,12 @@
     pub idle_timeout_ms: u64,
     /// The maximum number of concurrent caller connections.
     pub call_connections_max: usize,
+    /// The maximum number of requests of one connection that run at the same time, if its caller
+    /// sends them without waiting for responses.
+    pub pipelined_per_connection_max: usize,
+    /// The maximum number of requests, over all connections, that run while an earlier request of
+    /// the same connection is not answered.
+    pub pipelined_max: usize,
     /// How the entry accepts, retries and completes calls.
     pub entry: EntrySettings,
     /// How requests run on the target beside the daemon.
@@ -134,6 +140,8 @@
             read_timeout_ms: 10_000,
             idle_timeout_ms: 10_000,
             call_connections_max: 1_000,
+            pipelined_per_connection_max: 16,
+            pipelined_max: 1_000,
             entry: EntrySettings::default(),
             guard: GuardSettings::default(),
             admission: AdmissionSettings::default(),
--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -32,6 +32,8 @@
     bound("guard.late_answer_ms", 0, 3_600_000),
     bound("guard.stop_linger_ms", 0, 600_000),
     bound("call_connections_max", 1, 100_000),
+    bound("pipelined_per_connection_max", 1, 1_000),
+    bound("pipelined_max", 0, 100_000),
     bound("admission.queue_len_max", 1, 1_000_000),
     bound("admission.queue_wait_max_ms", 1, 60_000),
     bound("admission.limit_min", 1, 1_000),
