Compare service times by kind of work when a target is chosen

A guard reported the mean service time of all its work; a target that had run long work looked ten times slower, so short calls avoided it, and it went on running long work only. Change: a guard reports the time of the call's route; the router keeps it for each target and kind, and compares a target without a report by the mean of all. Both soaks send requests ahead on a share of their connections.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -7,7 +7,7 @@
 
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
 use dragonflylug::admission::{Admission, AdmissionSettings, Arrival, CallOutcome};
-use dragonflylug::ids::{CallKey, MemberId, Priority, RootId, ServiceName};
+use dragonflylug::ids::{CallKey, MemberId, Priority, RootId, ServiceName, WorkKind};
 use dragonflylug::kernel::{Input, Kernel, Notice};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::request::{LoadReport, Rank};
@@ -136,6 +136,7 @@
                     let query = TargetQuery {
                         service: &service,
                         rank: Rank::new(Priority::Normal, RootId(now_us)),
+                        kind: WorkKind::default(),
                         excluded: &[],
                     };
                     let Ok(choice) = router.choose(now_us, &mut rng, &query) else {
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -304,9 +304,14 @@
         self.pacer.pressure_wait_us(now_us, wait_us, aim_us)
     }
 
-    /// Returns the load that the guard reports to entry daemons, without `is_leaving` and the
-    /// pressure, which the guard fills in.
+    /// Returns the load with the mean service time of all work.
     pub fn load(&self, now_us: u64) -> LoadReport {
+        self.load_for(now_us, WorkKind::default())
+    }
+
+    /// Returns the load that the guard reports for a call of a kind of work, without `is_leaving`
+    /// and the pressure, which the guard fills in.
+    pub fn load_for(&self, now_us: u64, kind: WorkKind) -> LoadReport {
         let rate_wait_us = self.pacer.wait_us(now_us, self.queue.len());
         LoadReport {
             threshold: threshold::threshold(&self.queue, self.queue_len_bound(now_us)),
@@ -316,7 +321,7 @@
             is_leaving: false,
             pressure_permille: 0,
             rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
-            service_us: u32::try_from(self.service_times.mean_us()).unwrap_or(u32::MAX),
+            service_us: u32::try_from(self.service_times.kind_mean_us(kind)).unwrap_or(u32::MAX),
         }
     }
 
--- a/src/admission/service_time.rs
+++ b/src/admission/service_time.rs
@@ -60,6 +60,15 @@
         self.all.mean_us()
     }
 
+    /// Returns the mean service time of a kind as of the last sample, or that of all calls if no kind
+    /// is given; 0 if none was measured.
+    pub(super) fn kind_mean_us(&self, kind: WorkKind) -> u64 {
+        if kind == WorkKind::default() {
+            return self.mean_us();
+        }
+        self.by_kind.get(&kind).map_or(0, |time| time.mean_us())
+    }
+
     /// Returns the time that must be left before the deadline to start a call of a kind: half the
     /// kind's mean; the whole mean of all calls if no kind is given; 0 if the kind has no estimate
     /// of its own.
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::{Entry, PendingRequest, Purpose, TimerKind};
 use crate::calls;
 use crate::decision::{DecisionInputs, Step};
-use crate::ids::{CallKey, MemberId, OutboundKey, RouteName, ServiceName, TraceId};
+use crate::ids::{CallKey, OutboundKey, RouteName, TraceId, WorkKind};
 use crate::kernel::Context;
 use crate::metrics::{Counter, RetryReason};
 use crate::peer::PeerRequest;
@@ -44,9 +44,7 @@
                 address,
             });
         }
-        let rank = call.rank();
-        choose_target(context, &call.request.service, rank, &call.excluded_members)
-            .map_err(Verdict::NotRun)
+        choose_target(context, &call.target_query()).map_err(Verdict::NotRun)
     }
 
     pub(super) fn send(&mut self, context: &mut Context<'_>, key: CallKey, choice: ChosenTarget) {
@@ -181,6 +179,21 @@
         }
     }
 
+    /// Returns the parameters of the choice of the next target.
+    pub(super) fn target_query(&self) -> TargetQuery<'_> {
+        TargetQuery {
+            service: &self.request.service,
+            rank: self.rank(),
+            kind: self.kind(),
+            excluded: &self.excluded_members,
+        }
+    }
+
+    /// Returns the kind of work, by the route.
+    pub(super) fn kind(&self) -> WorkKind {
+        WorkKind::of_route(self.route().as_ref())
+    }
+
     pub(super) fn route(&self) -> Option<RouteName> {
         let routed = self.request.routed.as_ref()?;
         Some(routed.route.clone())
@@ -194,9 +207,7 @@
 
 pub(super) fn choose_target(
     context: &mut Context<'_>,
-    service: &ServiceName,
-    rank: Rank,
-    excluded: &[MemberId],
+    query: &TargetQuery<'_>,
 ) -> Result<ChosenTarget, Refusal> {
     let now_us = context.now_us();
     let mut rng = context.fork_rng();
@@ -208,13 +219,5 @@
     let Some(router) = context.find::<Router>(routing::NAME) else {
         return Err(missing);
     };
-    router.choose(
-        now_us,
-        &mut rng,
-        &TargetQuery {
-            service,
-            rank,
-            excluded,
-        },
-    )
+    router.choose(now_us, &mut rng, query)
 }
--- a/src/calls/entry/response.rs
+++ b/src/calls/entry/response.rs
@@ -74,6 +74,7 @@
                 Some(reply.load),
             );
         }
+        self.record_kind_time(context, key, pending.member, reply.load);
         if let Some(call) = self.calls.get_mut(&key) {
             call.allowance
                 .refund(reply.retries_unspent.min(pending.retries_granted));
@@ -90,6 +91,24 @@
         self.handle_verdict(context, key, verdict, reply.has_failed_child);
     }
 
+    /// Records the service time of the call's route that a reply reports.
+    fn record_kind_time(
+        &self,
+        context: &mut Context<'_>,
+        key: CallKey,
+        member: MemberId,
+        load: LoadReport,
+    ) {
+        let now_us = context.now_us();
+        let Some(call) = self.calls.get(&key) else {
+            return;
+        };
+        let kind = call.kind();
+        if let Some(router) = context.find::<Router>(routing::NAME) {
+            router.record_kind_time(now_us, member, kind, load.service_us);
+        }
+    }
+
     /// Sends the request to the daemon that holds its claim, which replies with the verdict.
     ///
     /// This spends no retry and is not counted in the budget of the service. Returns false if the
--- a/src/calls/entry/tickets.rs
+++ b/src/calls/entry/tickets.rs
@@ -5,7 +5,7 @@
 use crate::ids::{CallKey, RequestId, ServiceName};
 use crate::kernel::{Context, LinkError};
 use crate::peer::{PeerRequest, PeerResponse};
-use crate::request::{Rank, RunKey};
+use crate::request::RunKey;
 use crate::routing::{self, AttemptOutcome, Router};
 use crate::run_once::{self, RunOnce, Ticket, TicketRequest};
 use crate::sorted::SortedMap;
@@ -145,9 +145,7 @@
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        let rank = Rank::new(call.plan.priority, call.plan.root);
-        let choice = choose_target(context, &call.request.service, rank, &call.excluded_members);
-        let choice = match choice {
+        let choice = match choose_target(context, &call.target_query()) {
             Ok(choice) => choice,
             Err(refusal) => {
                 self.finish(context, key, Verdict::NotRun(refusal));
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -4,7 +4,7 @@
 use crate::admission::{self, Admission, CallOutcome};
 use crate::calls;
 use crate::decision::{DecisionInputs, Step};
-use crate::ids::{CallKey, RouteName};
+use crate::ids::{CallKey, RouteName, WorkKind};
 use crate::kernel::{Context, TargetOutcome};
 use crate::metrics::{Counter, Latency};
 use crate::peer::PeerResponse;
@@ -173,14 +173,14 @@
         }
     }
 
-    /// Returns the load to report; for a route its pressure includes that of the routes which it
-    /// calls.
+    /// Returns the load to report; for a route its service time is that of the route, and its
+    /// pressure includes that of the routes which it calls.
     pub(super) fn load(&self, context: &mut Context<'_>, route: Option<&RouteName>) -> LoadReport {
         let now_us = context.now_us();
         let mut load = LoadReport::default();
         let mut pressure = 0.0;
         if let Some(admission) = context.find::<Admission>(admission::NAME) {
-            load = admission.load(now_us);
+            load = admission.load_for(now_us, WorkKind::of_route(route));
             pressure = admission.pressure(now_us);
         }
         if let Some(route) = route
--- a/src/request.rs
+++ b/src/request.rs
@@ -212,7 +212,8 @@
     pub queued: u32,
     /// Whether the target is leaving.
     pub is_leaving: bool,
-    /// The mean service time of the latest requests at the target; 0 if none was measured.
+    /// The mean service time of the latest requests at the target, of those of the call's route if it
+    /// has one; 0 if none was measured.
     pub service_us: u32,
     /// The pressure on the route of the call, in thousandths.
     pub pressure_permille: u16,
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -5,6 +5,7 @@
 
 mod choice;
 mod health;
+mod kind_times;
 mod pool;
 mod slow_start;
 mod target;
@@ -16,13 +17,14 @@
 use slotmap::SlotMap;
 
 use crate::derives::{settings, value};
-use crate::ids::{AvailabilityZone, MemberId, OutboundKey, ServiceName};
+use crate::ids::{AvailabilityZone, MemberId, OutboundKey, ServiceName, WorkKind};
 use crate::kernel::{Context, Event, Notice, Service};
 use crate::membership::{Member, MemberState};
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::request::{LoadReport, Rank};
 use crate::sorted::SortedMap;
 use crate::verdict::{Refusal, RefusalReason, Verdict};
+use kind_times::TypicalTimes;
 use pool::Pool;
 use target::{Target, TargetKey};
 
@@ -68,6 +70,8 @@
     pub service: &'a ServiceName,
     /// The rank of the request, which is compared with the thresholds of the guards.
     pub rank: Rank,
+    /// The kind of work, whose service times at the targets are compared.
+    pub kind: WorkKind,
     /// Members to leave out, because an earlier attempt was sent to them.
     pub excluded: &'a [MemberId],
 }
@@ -117,6 +121,7 @@
     keys_by_member: SortedMap<MemberId, TargetKey>,
     pools: SortedMap<ServiceName, Pool>,
     probes: SortedMap<OutboundKey, MemberId>,
+    typical_times: TypicalTimes,
     is_probe_timer_set: bool,
 }
 
@@ -131,6 +136,7 @@
             keys_by_member: SortedMap::default(),
             pools: SortedMap::default(),
             probes: SortedMap::default(),
+            typical_times: TypicalTimes::default(),
             is_probe_timer_set: false,
         }
     }
@@ -154,6 +160,7 @@
             pool,
             now_us,
             query,
+            typical_us: self.typical_times.mean_us(query.kind),
         };
         let key = chooser.choose(rng)?;
         let target = &self.targets[key];
@@ -187,6 +194,23 @@
         self.eject_if_failing(now_us, key, outcome);
     }
 
+    /// Records the service time of a kind of work that the guard of a member reported.
+    pub fn record_kind_time(
+        &mut self,
+        now_us: u64,
+        member: MemberId,
+        kind: WorkKind,
+        service_us: u32,
+    ) {
+        if kind == WorkKind::default() {
+            return;
+        }
+        if let Some(target) = self.target_mut(member) {
+            target.record_kind_time(now_us, kind, service_us);
+            self.typical_times.record(kind, service_us);
+        }
+    }
+
     /// Sends a probe to each daemon that could not be reached and whose next probe is due.
     fn probe_unreachable(&mut self, context: &mut Context<'_>) {
         let now_us = context.now_us();
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -78,6 +78,8 @@
     pub(super) pool: &'a Pool,
     pub(super) now_us: u64,
     pub(super) query: &'a TargetQuery<'a>,
+    /// The mean service time of the request's kind at all targets, if it is known.
+    pub(super) typical_us: Option<f64>,
 }
 
 /// The result of a scan of the targets of the own zone or of those of the other zones.
@@ -195,7 +197,11 @@
     }
 
     fn better(&self, one: TargetKey, other: TargetKey) -> TargetKey {
-        let cost = |key: TargetKey| self.targets[key].cost(self.now_us, self.settings);
+        let (kind, typical_us) = (self.query.kind, self.typical_us);
+        let cost = |key: TargetKey| {
+            let target = &self.targets[key];
+            target.cost(self.now_us, self.settings, kind, typical_us)
+        };
         if cost(other) < cost(one) { other } else { one }
     }
 
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -3,8 +3,9 @@
 use std::net::SocketAddr;
 
 use super::health::Health;
+use super::kind_times::KindTimes;
 use super::{AttemptOutcome, RoutingSettings, slow_start};
-use crate::ids::{MemberId, ServiceName};
+use crate::ids::{MemberId, ServiceName, WorkKind};
 use crate::membership::{Member, MemberState};
 use crate::request::{LoadReport, Rank};
 
@@ -50,6 +51,7 @@
     in_flight: u32,
     mean_latency_us: Option<f64>,
     latency_sampled_us: u64,
+    kind_times: KindTimes,
     report: Option<Report>,
     /// The probe schedule of its daemon, if that could not be reached.
     pub(super) probe_schedule: Option<ProbeSchedule>,
@@ -95,6 +97,7 @@
             in_flight: 0,
             mean_latency_us: None,
             latency_sampled_us: now_us,
+            kind_times: KindTimes::default(),
             report: None,
             probe_schedule: None,
         }
@@ -146,6 +149,11 @@
         self.record_latency(now_us, outcome, latency_us as f64);
     }
 
+    /// Records the service time of a kind of work that the guard reported.
+    pub(super) fn record_kind_time(&mut self, now_us: u64, kind: WorkKind, service_us: u32) {
+        self.kind_times.record(now_us, kind, service_us);
+    }
+
     /// Records that the daemon is reachable, with the load report of its guard.
     pub(super) fn record_reachable(&mut self, now_us: u64, load: LoadReport) {
         self.probe_schedule = None;
@@ -231,10 +239,22 @@
     }
 
     /// Returns the cost of sending a request to this target; the lowest cost is the best.
-    pub(super) fn cost(&self, now_us: u64, settings: &RoutingSettings) -> f64 {
+    ///
+    /// `typical_us` is the mean service time of the request's kind at all targets, if it is known.
+    pub(super) fn cost(
+        &self,
+        now_us: u64,
+        settings: &RoutingSettings,
+        kind: WorkKind,
+        typical_us: Option<f64>,
+    ) -> f64 {
         let success_share = self.health.success_share().max(SUCCESS_SHARE_FLOOR);
         let load = self.load(now_us, settings);
-        let time_us = self.service_time_us(now_us) * (1.0 + load);
+        let service_us = match typical_us {
+            Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
+            None => self.service_time_us(now_us),
+        };
+        let time_us = service_us * (1.0 + load);
         let rate_wait_us = self.rate_wait_us(now_us) as f64;
         (time_us + rate_wait_us) / (success_share * success_share)
     }
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -5,7 +5,7 @@
 #[path = "support/cases.rs"]
 mod cases;
 
-use dragonflylug::ids::{AvailabilityZone, MemberId, Priority, RootId, ServiceName};
+use dragonflylug::ids::{AvailabilityZone, MemberId, Priority, RootId, ServiceName, WorkKind};
 use dragonflylug::kernel::{Input, Kernel, Notice};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::request::{LoadReport, Rank};
@@ -92,6 +92,7 @@
         let query = TargetQuery {
             service,
             rank: Rank::new(Priority::Normal, RootId(7)),
+            kind: WorkKind::default(),
             excluded: &excluded,
         };
         let router: &mut Router = self.kernel.find(NAME).unwrap();
--- a/tests/support/policy_simulation.rs
+++ b/tests/support/policy_simulation.rs
@@ -11,7 +11,7 @@
     Admission, AdmissionOutcome, AdmissionSettings, Arrival, CallOutcome, DequeuedCalls,
     OfferResult,
 };
-use dragonflylug::ids::{CallKey, MemberId, Priority, RootId, ServiceName};
+use dragonflylug::ids::{CallKey, MemberId, Priority, RootId, ServiceName, WorkKind};
 use dragonflylug::kernel::{Input, Kernel, Notice};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::request::{LoadReport, Rank};
@@ -497,6 +497,7 @@
             let query = TargetQuery {
                 service: &service,
                 rank,
+                kind: WorkKind::default(),
                 excluded: &attempted,
             };
             let router: &mut Router = self.routers[daemon].find(NAME).unwrap();
--- a/tests/support/soak_callers.rs
+++ b/tests/support/soak_callers.rs
@@ -17,6 +17,13 @@
 /// The pause of a caller after each lookup or payment.
 const REQUEST_PAUSE: Duration = Duration::from_millis(5);
 
+/// Every lookup whose number is a multiple of this sends further ones without waiting for its
+/// response.
+const AHEAD_EVERY: u64 = 3;
+
+/// The number of lookups that are sent together then.
+const AHEAD: u64 = 4;
+
 /// Every request whose number is a multiple of this is a payment, the others are lookups.
 const PAYMENT_EVERY: u64 = 4;
 
@@ -99,6 +106,8 @@
         turn += 1;
         if number.is_multiple_of(PAYMENT_EVERY) {
             observed.payments.push(pay(entries, turn, number));
+        } else if number.is_multiple_of(AHEAD_EVERY) {
+            look_up_ahead(entries, turn % entries.len(), number, &mut observed);
         } else {
             look_up(entries, turn % entries.len(), number, &mut observed);
         }
@@ -112,18 +121,50 @@
     observed.lookups += 1;
     let body = format!("lookup {number}");
     let path = format!("/lookups/free?entry={index}");
-    let Ok(reply) = send(entries[index], "PUT", &path, "", &body) else {
+    if let Ok(reply) = send(entries[index], "PUT", &path, "", &body) {
+        observed.record_lookup(&body, &reply);
+    }
+}
+
+/// Sends several lookups on one connection before the first is answered. Their replies must echo the
+/// bodies in the order in which they were sent.
+fn look_up_ahead(entries: &[SocketAddr], index: usize, number: u64, observed: &mut Observations) {
+    observed.lookups += AHEAD;
+    let path = format!("/lookups/free?entry={index}");
+    let mut bodies = Vec::new();
+    let mut requests = String::new();
+    for ahead in 1..=AHEAD {
+        let connection = if ahead == AHEAD {
+            "close"
+        } else {
+            "keep-alive"
+        };
+        let body = format!("lookup {number}.{ahead}");
+        requests += &encode("PUT", &path, connection, "", &body);
+        bodies.push(body);
+    }
+    let Ok(mut received) = exchange(entries[index], &requests) else {
         return;
     };
-    if reply.verdict != "ran" || reply.status != 200 {
-        return;
+    for body in bodies {
+        let Some(reply) = take_reply(&mut received) else {
+            return;
+        };
+        observed.record_lookup(&body, &reply);
     }
-    observed.answered += 1;
-    if reply.body != body.as_bytes() {
-        let got = String::from_utf8_lossy(&reply.body).into_owned();
-        observed
-            .mismatched_answers
-            .push(format!("{body:?} was answered {got:?}"));
+}
+
+impl Observations {
+    fn record_lookup(&mut self, body: &str, reply: &Reply) {
+        if reply.verdict != "ran" || reply.status != 200 {
+            return;
+        }
+        self.answered += 1;
+        if reply.body != body.as_bytes() {
+            let got = String::from_utf8_lossy(&reply.body).into_owned();
+            self.mismatched_answers
+                .push(format!("{body:?} was answered {got:?}"));
+        }
     }
 }
 
@@ -170,31 +211,39 @@
     header: &str,
     body: &str,
 ) -> std::io::Result<Reply> {
-    let mut stream = TcpStream::connect_timeout(&entry, IO_TIMEOUT)?;
-    stream.set_read_timeout(Some(IO_TIMEOUT))?;
+    let mut received = exchange(entry, &encode(method, path, "close", header, body))?;
+    let reply = take_reply(&mut received).filter(|_| received.is_empty());
+    reply.ok_or_else(|| std::io::Error::other("response is incomplete or malformed"))
+}
+
+fn encode(method: &str, path: &str, connection: &str, header: &str, body: &str) -> String {
     let length = body.len();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: soak\r\nconnection: close\r\n\
+    format!(
+        "{method} {path} HTTP/1.1\r\nhost: soak\r\nconnection: {connection}\r\n\
          x-dragonflylug-deadline-ms: 2000\r\n{header}content-length: {length}\r\n\r\n{body}"
-    );
-    stream.write_all(request.as_bytes())?;
-    let mut response = Vec::new();
-    stream.read_to_end(&mut response)?;
-    parse_reply(&response)
-        .ok_or_else(|| std::io::Error::other("response is incomplete or malformed"))
+    )
+}
+
+/// Sends bytes on a new connection and returns what is received until it closes.
+fn exchange(entry: SocketAddr, requests: &str) -> std::io::Result<Vec<u8>> {
+    let mut stream = TcpStream::connect_timeout(&entry, IO_TIMEOUT)?;
+    stream.set_read_timeout(Some(IO_TIMEOUT))?;
+    stream.write_all(requests.as_bytes())?;
+    let mut received = Vec::new();
+    stream.read_to_end(&mut received)?;
+    Ok(received)
 }
 
-/// Parses a response; returns `None` if it is malformed or its body does not have the length given
-/// in `content-length`.
-fn parse_reply(response: &[u8]) -> Option<Reply> {
-    let head_end = response.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
-    let head = std::str::from_utf8(&response[..head_end]).ok()?;
-    let body = response[head_end + 4..].to_vec();
+/// Removes the first response from the received bytes; returns `None` if it is malformed or its body
+/// does not have the length given in `content-length`.
+fn take_reply(received: &mut Vec<u8>) -> Option<Reply> {
+    let head_end = received.windows(4).position(|bytes| bytes == b"\r\n\r\n")?;
+    let head = std::str::from_utf8(&received[..head_end]).ok()?;
     let mut reply = Reply {
         status: head.split_whitespace().nth(1)?.parse().ok()?,
         verdict: String::new(),
         ticket: None,
-        body,
+        body: Vec::new(),
     };
     let mut length = None;
     for line in head.lines().skip(1) {
@@ -206,5 +255,9 @@
             _ => {}
         }
     }
-    (length? == reply.body.len()).then_some(reply)
+    let body_start = head_end + 4;
+    let body_end = body_start + length?;
+    reply.body = received.get(body_start..body_end)?.to_vec();
+    received.drain(..body_end);
+    Some(reply)
 }
