Prefer a free slot to a queue at a faster target, and let the pressure fall while targets have room

Change: queued calls weigh twice in the cost of a target. The pressure falls at its idle rate once no call waits and less than three quarters of the limit is in use. Measured: both new tests fail without the changes.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -212,6 +212,9 @@
                 ..refusal
             });
         }
+        let limit = f64::from(self.effective_limit(now_us).max(1));
+        let occupancy = f64::from(self.in_flight()) / limit;
+        self.pressure.observe_occupancy(occupancy);
         if self.has_room_for(now_us, arrival.rank.priority)
             && !self.queue.has_call_ahead_of(arrival.rank)
         {
--- a/src/pressure/controller.rs
+++ b/src/pressure/controller.rs
@@ -16,6 +16,15 @@
 /// The time in which a mean wait halves while no new wait is observed.
 const WAIT_HALF_LIFE_US: f64 = 300_000.0;
 
+/// The share of the set point below which mean waits count as none.
+const IDLE_WAIT_SHARE: f64 = 0.1;
+
+/// The mean occupancy of the target below which it has room for more.
+const IDLE_OCCUPANCY: f64 = 0.75;
+
+/// The weight of a new occupancy in the exponentially weighted moving average.
+const OCCUPANCY_WEIGHT: f64 = 0.05;
+
 /// The longest time step of the controller.
 const STEP_MAX_US: u64 = 50_000;
 
@@ -34,8 +43,8 @@
     pub gain_percent: u32,
     /// The proportional term at twice that wait, in percent; it is added to the integral term.
     pub urgency_percent: u32,
-    /// The fall of the integral term per second, in percent, while all mean waits have decayed to
-    /// about 0.
+    /// The fall of the integral term per second, in percent, while all mean waits are about 0 and the
+    /// target has room for more.
     pub idle_fall_percent: u32,
 }
 
@@ -53,12 +62,13 @@
 /// A proportional-integral controller of the mean queue wait.
 ///
 /// The integral term rises while the longest mean wait is above the set point and falls otherwise.
-/// While all mean waits have decayed to about 0 (see `MEAN_WAIT_MIN_US`), as after the end of a
-/// surge, it falls at a rate of its own; by default faster.
+/// While all mean waits are about 0 (see `IDLE_WAIT_SHARE`) and the target has room (see
+/// `IDLE_OCCUPANCY`), as after the end of a surge, it falls at a rate of its own; by default faster.
 pub struct PressureController {
     settings: PressureSettings,
     /// The mean wait of each kind of work; the longest counts, so that no kind is starved.
     mean_waits_us: SortedMap<WorkKind, f64>,
+    mean_occupancy: f64,
     integral: f64,
     updated_us: u64,
 }
@@ -69,6 +79,7 @@
         Self {
             settings,
             mean_waits_us: SortedMap::default(),
+            mean_occupancy: 0.0,
             integral: 0.0,
             updated_us: 0,
         }
@@ -81,6 +92,11 @@
         *mean_us += WAIT_WEIGHT * (wait_us as f64 - *mean_us);
     }
 
+    /// Records the share of the concurrency limit that is in use when a request arrives.
+    pub fn observe_occupancy(&mut self, occupancy: f64) {
+        self.mean_occupancy += OCCUPANCY_WEIGHT * (occupancy - self.mean_occupancy);
+    }
+
     /// Returns the pressure from 0 to 1: the integral term, plus a proportional term while the
     /// longest mean wait exceeds the set point.
     pub fn current(&mut self, now_us: u64) -> f64 {
@@ -91,21 +107,27 @@
 
     /// Returns how far the longest mean wait is from the set point, as a multiple of it.
     fn relative_error(&self) -> f64 {
-        let set_point_us = f64::from(self.settings.wait_aim_ms) * 1_000.0;
+        let set_point_us = self.set_point_us();
+        let longest_us = self.longest_mean_wait_us();
+        ((longest_us - set_point_us) / set_point_us).clamp(-1.0, ERROR_MAX)
+    }
+
+    fn set_point_us(&self) -> f64 {
+        f64::from(self.settings.wait_aim_ms) * 1_000.0
+    }
+
+    fn longest_mean_wait_us(&self) -> f64 {
         let mut longest_us = 0.0_f64;
         for wait_us in self.mean_waits_us.values() {
             longest_us = longest_us.max(*wait_us);
         }
-        ((longest_us - set_point_us) / set_point_us).clamp(-1.0, ERROR_MAX)
+        longest_us
     }
 
     /// Returns the change of the integral term per second.
-    ///
-    /// A request that did not wait adds a mean wait of 0, which is removed only at the end of the
-    /// next step. Therefore the idle fall starts only if no request arrives for longer than
-    /// `STEP_MAX_US`.
     fn change_per_s(&self) -> f64 {
-        if self.mean_waits_us.is_empty() {
+        let is_waiting = self.longest_mean_wait_us() >= IDLE_WAIT_SHARE * self.set_point_us();
+        if !is_waiting && self.mean_occupancy < IDLE_OCCUPANCY {
             return -f64::from(self.settings.idle_fall_percent) / 100.0;
         }
         self.relative_error() * f64::from(self.settings.gain_percent) / 100.0
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -26,6 +26,10 @@
 /// The minimum share of successes in the cost, which is divided by the square of that share.
 const SUCCESS_SHARE_FLOOR: f64 = 0.05;
 
+/// The additional weight of queued requests in the cost: a request that joins a queue also delays
+/// those that arrive after it, so a free slot at a slower target is better for all of them.
+const QUEUED_WEIGHT: f64 = 1.0;
+
 /// The time from the first failure to reach a daemon until its first probe.
 const PROBE_INTERVAL_FIRST_US: u64 = 250_000;
 /// The maximum interval between two probes of such a daemon.
@@ -254,7 +258,8 @@
             Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
             None => self.service_time_us(now_us),
         };
-        let time_us = service_us * (1.0 + load);
+        let queued = (load - 1.0).max(0.0);
+        let time_us = service_us * (1.0 + load + QUEUED_WEIGHT * queued);
         let rate_wait_us = self.rate_wait_us(now_us) as f64;
         (time_us + rate_wait_us) / (success_share * success_share)
     }
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -50,6 +50,18 @@
     assert!(controller.current(2 * SECOND_US) > 0.5);
 }
 
+/// How long after the last wait requests may still be shed.
+const RECOVERY_S: u64 = 3;
+
+#[test]
+fn pressure_is_gone_soon_after_the_waits_while_requests_go_on() {
+    let mut controller = PressureController::new(PressureSettings::default());
+    observe_waits(&mut controller, 0, 4, 200);
+    assert!(controller.current(4 * SECOND_US) > 0.9);
+    observe_waits(&mut controller, 4, 4 + RECOVERY_S, 0);
+    assert_eq!(controller.current((4 + RECOVERY_S) * SECOND_US), 0.0);
+}
+
 #[test]
 fn pressure_falls_to_zero_without_requests() {
     let mut controller = PressureController::new(PressureSettings::default());
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -287,6 +287,24 @@
     },
 }
 
+#[test]
+fn a_free_slot_is_better_than_a_queue_at_a_faster_target() {
+    let mut fixture = Fixture::new(&[
+        member(1, "a", MemberState::Alive),
+        member(2, "a", MemberState::Alive),
+    ]);
+    let now_us = 10 * SECOND_US;
+    for (id, in_flight, queued, service_us) in [(1, 90, 90, 28_000), (2, 60, 0, 66_000)] {
+        let load = LoadReport {
+            queued,
+            service_us,
+            ..report(Rank::MIN, in_flight)
+        };
+        fixture.record_outcome(now_us, id, AttemptOutcome::Answered, Some(load));
+    }
+    assert_eq!(fixture.choice_counts(now_us)[2], 1_000);
+}
+
 #[test]
 fn a_recent_threshold_refuses_all_requests_but_probes() {
     let mut fixture = Fixture::new(&[member(1, "a", MemberState::Alive)]);
