Let guards report lost answers, so that entry daemons avoid targets that lose them

Change: each reply carries the share of answers that the target lost lately, over all daemons. The cost uses it or the daemon's own count, whichever is worse; both fade. If the better of two targets loses answers, up to two more are compared.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -109,6 +109,7 @@
         is_leaving: false,
         pressure_permille: 0,
         rate_wait_us: 0,
+        lost_permille: 0,
         service_us: 0,
     };
     for (members, pool) in [
--- a/src/admission.rs
+++ b/src/admission.rs
@@ -312,8 +312,8 @@
         self.load_for(now_us, WorkKind::default())
     }
 
-    /// Returns the load that the guard reports for a call of a kind of work, without `is_leaving`
-    /// and the pressure, which the guard fills in.
+    /// Returns the load that the guard reports for a call of a kind of work, without `is_leaving`,
+    /// the pressure and the share of lost answers, which the guard fills in.
     pub fn load_for(&self, now_us: u64, kind: WorkKind) -> LoadReport {
         let rate_wait_us = self.pacer.wait_us(now_us, self.queue.len());
         LoadReport {
@@ -323,6 +323,7 @@
             queued: self.queue.len(),
             is_leaving: false,
             pressure_permille: 0,
+            lost_permille: 0,
             rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
             service_us: u32::try_from(self.service_times.kind_mean_us(kind)).unwrap_or(u32::MAX),
         }
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -5,6 +5,7 @@
 mod dispatch;
 mod drain;
 mod finish;
+mod losses;
 mod parent;
 mod shed;
 
@@ -27,6 +28,7 @@
 use crate::target::{Announcement, ConditionTracker};
 use crate::verdict::{Refusal, RefusalReason, Verdict};
 use drain::PlannedStop;
+use losses::LostShare;
 
 /// The name of the kernel service that runs calls on the target beside the daemon.
 pub const NAME: &str = "guard";
@@ -68,6 +70,7 @@
     /// Since when the target accepts no new work, as in [`Guard::is_leaving`].
     leaving_since_us: Option<u64>,
     release_timer_us: Option<u64>,
+    lost_share: LostShare,
 }
 
 /// A request at the guard.
@@ -138,6 +141,7 @@
             planned_stop: PlannedStop::default(),
             leaving_since_us: None,
             release_timer_us: None,
+            lost_share: LostShare::default(),
         }
     }
 
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -27,6 +27,9 @@
         let is_late = guard_call.deadline_us <= context.now_us();
         let has_failed_child = guard_call.has_failed_child;
         let retry_after_ms = self.settings.retry_after_ms;
+        if !(is_late && outcome == TargetOutcome::Lost) {
+            self.lost_share.record(outcome == TargetOutcome::Lost);
+        }
         let verdict = match outcome {
             TargetOutcome::Answered(answer) => Verdict::Ran(answer),
             TargetOutcome::NotSent => {
@@ -191,6 +194,7 @@
         LoadReport {
             is_leaving: self.is_leaving(),
             pressure_permille: (pressure * 1_000.0) as u16,
+            lost_permille: self.lost_share.permille(),
             ..load
         }
     }
--- a/src/request.rs
+++ b/src/request.rs
@@ -219,6 +219,8 @@
     pub pressure_permille: u16,
     /// The time until the target's rate limit lets a call start that arrives now; 0 without a limit.
     pub rate_wait_us: u32,
+    /// The share of the latest requests whose answers the target lost, in thousandths.
+    pub lost_permille: u16,
 }
 
 /// The order in which requests are shed: the lowest rank first.
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -387,6 +387,16 @@
 }
 
 impl AttemptOutcome {
+    /// Returns whether the outcome is a success of the target; `None` if it says nothing about the
+    /// target.
+    fn is_success(self) -> Option<bool> {
+        match self {
+            Self::Answered => Some(true),
+            Self::TargetError | Self::Lost | Self::NotSent | Self::Unreachable => Some(false),
+            Self::Refused | Self::Cancelled => None,
+        }
+    }
+
     /// Returns the attempt outcome for a verdict.
     ///
     /// An error that was caused by a failed child call is not a fault of the target. All doubts
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -25,6 +25,9 @@
 /// The number of targets with a threshold above the request's rank at which a scan stops.
 const BELOW_THRESHOLD_MAX: usize = 64;
 
+/// The maximum number of targets with which the first random one is compared.
+const COMPARISONS_MAX: u32 = 3;
+
 /// The order of preference between targets; a later tier is used only if an earlier one has no
 /// target. Only an idle target on trial may be chosen at random although there are healthy ones.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
@@ -103,7 +106,7 @@
         if let Some(trial) = local.trial {
             return Ok(trial);
         }
-        let local_best = self.better_of_two(rng, &local.candidates);
+        let local_best = self.best_of_some(rng, &local.candidates);
         if let Some(local_best) = local_best
             && local.tier == Tier::Healthy
             && self.has_room(local_best)
@@ -114,7 +117,7 @@
         if let Some(trial) = remote.trial {
             return Ok(trial);
         }
-        let remote_best = self.better_of_two(rng, &remote.candidates);
+        let remote_best = self.best_of_some(rng, &remote.candidates);
         match (local_best, remote_best) {
             (Some(local_best), Some(remote_best)) if local.tier == remote.tier => {
                 Ok(self.better(local_best, remote_best))
@@ -188,12 +191,19 @@
             && load_percent <= f64::from(self.settings.zone_spill_percent)
     }
 
-    fn better_of_two(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<TargetKey> {
-        let first = self.pick_weighted(rng, keys, None)?;
-        match self.pick_weighted(rng, keys, Some(first)) {
-            Some(second) => Some(self.better(first, second)),
-            None => Some(first),
+    /// Compares two random targets, and up to two more as long as the better one loses answers.
+    fn best_of_some(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<TargetKey> {
+        let mut best = self.pick_weighted(rng, keys, None)?;
+        for comparison in 0..COMPARISONS_MAX {
+            if comparison > 0 && !self.targets[best].loses_answers(self.now_us) {
+                break;
+            }
+            let Some(other) = self.pick_weighted(rng, keys, Some(best)) else {
+                break;
+            };
+            best = self.better(best, other);
         }
+        Some(best)
     }
 
     fn better(&self, one: TargetKey, other: TargetKey) -> TargetKey {
--- a/src/routing/health.rs
+++ b/src/routing/health.rs
@@ -37,26 +37,13 @@
     }
 }
 
-/// Returns whether an outcome is a success of the target; `None` if it says nothing about the
-/// target.
-fn is_success(outcome: AttemptOutcome) -> Option<bool> {
-    match outcome {
-        AttemptOutcome::Answered => Some(true),
-        AttemptOutcome::TargetError
-        | AttemptOutcome::Lost
-        | AttemptOutcome::NotSent
-        | AttemptOutcome::Unreachable => Some(false),
-        AttemptOutcome::Refused | AttemptOutcome::Cancelled => None,
-    }
-}
-
 impl Health {
     /// Records an outcome.
     ///
     /// A success after an ejection began resets the health. This ends the ejection at once, even if
     /// the request was sent before it.
     pub(super) fn record(&mut self, outcome: AttemptOutcome) {
-        let Some(is_success) = is_success(outcome) else {
+        let Some(is_success) = outcome.is_success() else {
             return;
         };
         self.outcome_count = self.outcome_count.saturating_add(1);
@@ -88,7 +75,7 @@
 
     /// Returns whether the target should be ejected after an outcome.
     pub(super) fn should_eject_after(&self, outcome: AttemptOutcome) -> bool {
-        if is_success(outcome) != Some(false) {
+        if outcome.is_success() != Some(false) {
             return false;
         }
         if self.awaits_success_after_ejection
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -23,6 +23,11 @@
 const LATENCY_DECAY_FACTOR: f64 = 0.5;
 /// The time over which a mean latency without a new sample falls to half.
 const LATENCY_DECAY_US: f64 = 1_000_000.0;
+/// The time in which a share of failures halves without a new failure or report, so that a target
+/// that failed is used again.
+const FAILURE_HALF_LIFE_US: f64 = 2_000_000.0;
+/// The share of successes below which a target counts as one that loses answers.
+const LOSING_SUCCESS_SHARE: f64 = 0.8;
 /// The minimum share of successes in the cost, which is divided by the square of that share.
 const SUCCESS_SHARE_FLOOR: f64 = 0.05;
 
@@ -56,6 +61,8 @@
     mean_latency_us: Option<f64>,
     latency_sampled_us: u64,
     kind_times: KindTimes,
+    /// When a request of this daemon last failed.
+    failed_us: u64,
     report: Option<Report>,
     /// The probe schedule of its daemon, if that could not be reached.
     pub(super) probe_schedule: Option<ProbeSchedule>,
@@ -102,6 +109,7 @@
             mean_latency_us: None,
             latency_sampled_us: now_us,
             kind_times: KindTimes::default(),
+            failed_us: now_us,
             report: None,
             probe_schedule: None,
         }
@@ -149,6 +157,9 @@
             }
             None => {}
         }
+        if outcome.is_success() == Some(false) {
+            self.failed_us = now_us;
+        }
         self.health.record(outcome);
         self.record_latency(now_us, outcome, latency_us as f64);
     }
@@ -242,6 +253,26 @@
         f64::from(requests) / (f64::from(limit) * share)
     }
 
+    /// Returns whether so many answers of the target were lost that another target should be compared.
+    pub(super) fn loses_answers(&self, now_us: u64) -> bool {
+        self.success_share(now_us) < LOSING_SUCCESS_SHARE
+    }
+
+    /// Returns the share of successes: that of this daemon's own requests, or that of all requests by
+    /// the guard's report if it is lower. Failures fade with their age.
+    fn success_share(&self, now_us: u64) -> f64 {
+        let faded = |share: f64, since_us: u64| {
+            let age_us = now_us.saturating_sub(since_us) as f64;
+            share * 0.5_f64.powf(age_us / FAILURE_HALF_LIFE_US)
+        };
+        let failed = faded(1.0 - self.health.success_share(), self.failed_us);
+        let lost = self.report.as_ref().map_or(0.0, |report| {
+            let lost = f64::from(report.load.lost_permille) / 1_000.0;
+            faded(lost, report.received_us)
+        });
+        1.0 - failed.max(lost)
+    }
+
     /// Returns the cost of sending a request to this target; the lowest cost is the best.
     ///
     /// `typical_us` is the mean service time of the request's kind at all targets, if it is known.
@@ -252,7 +283,7 @@
         kind: WorkKind,
         typical_us: Option<f64>,
     ) -> f64 {
-        let success_share = self.health.success_share().max(SUCCESS_SHARE_FLOOR);
+        let success_share = self.success_share(now_us).max(SUCCESS_SHARE_FLOOR);
         let load = self.load(now_us, settings);
         let service_us = match typical_us {
             Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -38,6 +38,7 @@
         is_leaving: false,
         pressure_permille: 0,
         rate_wait_us: 0,
+        lost_permille: 0,
         service_us: 0,
     }
 }
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -151,6 +151,7 @@
     is_leaving: false,
     pressure_permille: 0,
     rate_wait_us: 0,
+    lost_permille: 0,
     service_us: 0,
 };
 
