Split admission by decision, and use one fixture for a target behind two sidecars

Change: code moved to messages, slots, waiting and report; no decision changed. answer_signals uses served_target.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -6,102 +6,36 @@
 //! refuses calls that would probably miss their deadline.
 
 mod limit;
+mod messages;
 mod pacer;
 mod queue;
+mod report;
 mod service_time;
+mod slots;
 mod threshold;
+mod waiting;
+
+pub use messages::{
+    AdmissionOutcome, Arrival, CallOutcome, CancelOutcome, DequeuedCalls, EvictedCall, OfferResult,
+};
 
 use macro_rules_attribute::apply;
 
-use crate::derives::{settings, value};
+use crate::derives::settings;
 use crate::ids::{CallKey, Priority, WorkKind};
 use crate::kernel::{Context, Event, Notice, Service};
 use crate::pressure::{PressureController, PressureSettings};
-use crate::request::{LoadReport, Rank};
 use crate::sorted::SortedMap;
 use crate::target::RateLimitState;
 use crate::verdict::{Refusal, RefusalReason};
 use limit::Limit;
 use pacer::Pacer;
-use queue::{Queue, QueuedCall};
+use queue::Queue;
 use service_time::ServiceTimes;
 
 /// The name of the admission service.
 pub const NAME: &str = "admission";
 
-/// A call that arrives at the guard and asks for admission.
-#[apply(value!)]
-pub struct Arrival {
-    /// The call.
-    pub call: CallKey,
-    /// Its rank; calls of a lower rank are shed first.
-    pub rank: Rank,
-    /// The deadline for its answer, on the node's clock.
-    pub deadline_us: u64,
-    /// The kind of work.
-    pub kind: WorkKind,
-}
-
-/// A queued call that is removed from the queue and refused.
-#[apply(value!)]
-pub struct EvictedCall {
-    /// The call.
-    pub call: CallKey,
-    /// The refusal for its caller.
-    pub refusal: Refusal,
-}
-
-/// The result for an arrival, and for the queued calls that it displaces.
-#[derive(Clone, Debug, PartialEq)]
-pub struct OfferResult {
-    /// What happens to the arrival.
-    pub outcome: AdmissionOutcome,
-    /// Queued calls that are refused to make room.
-    pub evicted: Vec<EvictedCall>,
-}
-
-/// What happens to an arrival.
-#[apply(value!)]
-pub enum AdmissionOutcome {
-    /// It is sent to the target at once.
-    Start,
-    /// It waits in the queue.
-    Queued,
-    /// It is refused.
-    Refused(Refusal),
-}
-
-/// The calls that leave the queue after a change: a call ended, slots were added or time passed.
-#[derive(Clone, Debug, Default, PartialEq)]
-pub struct DequeuedCalls {
-    /// Calls that are sent to the target now.
-    pub started: Vec<CallKey>,
-    /// Calls that are refused now.
-    pub evicted: Vec<EvictedCall>,
-}
-
-/// How a call at the target ended.
-#[apply(value!)]
-pub enum CallOutcome {
-    /// With an answer that is not a server error of the target itself.
-    Answered,
-    /// With a server error or without a complete answer.
-    Failed,
-    /// It was cancelled.
-    Cancelled,
-}
-
-/// Where a cancelled call was found.
-#[apply(value!)]
-pub enum CancelOutcome {
-    /// The call was queued and will not be sent.
-    RemovedFromQueue,
-    /// The call is at the target; it occupies its slot until it ends.
-    InFlight,
-    /// The call is neither queued nor at the target.
-    Unknown,
-}
-
 /// Settings of admission control.
 #[apply(settings!)]
 pub struct AdmissionSettings {
@@ -137,11 +71,6 @@
     }
 }
 
-/// The minimum retry-after time of a refusal.
-const RETRY_AFTER_MIN_MS: u32 = 10;
-/// The maximum retry-after time of a refusal.
-const RETRY_AFTER_MAX_MS: u32 = 10_000;
-
 /// A call at the target.
 struct RunningCall {
     started_us: u64,
@@ -282,240 +211,6 @@
         let token_us = now_us.saturating_add(self.pacer.wait_us(now_us, 0));
         late_us.map(|late_us| late_us.min(token_us))
     }
-
-    /// Returns the pressure on the target, from 0 to 1.
-    pub fn pressure(&mut self, now_us: u64) -> f64 {
-        self.pressure.current(now_us)
-    }
-
-    /// Counts a refused call in the pressure as one that waited behind the whole queue, and for no
-    /// less than the maximum wait.
-    ///
-    /// This covers calls that could not be queued and queued calls that can no longer finish in
-    /// time, but neither calls that an arrival of a higher rank evicts nor calls that would miss
-    /// their deadline even without a wait.
-    fn observe_refusal(&mut self, now_us: u64, kind: WorkKind) {
-        let wait_us = self.expected_wait_us(now_us, self.queue.len());
-        let min_wait_us = u64::from(self.settings.queue_wait_max_ms) * 1_000;
-        let wait_us = self.pressure_wait_us(now_us, wait_us.max(min_wait_us));
-        self.pressure.observe_wait(now_us, kind, wait_us);
-    }
-
-    /// Returns a wait as it counts in the pressure.
-    fn pressure_wait_us(&self, now_us: u64, wait_us: u64) -> u64 {
-        let aim_us = u64::from(self.settings.pressure.wait_aim_ms) * 1_000;
-        self.pacer.pressure_wait_us(now_us, wait_us, aim_us)
-    }
-
-    /// Returns the load with the mean service time of all work.
-    pub fn load(&self, now_us: u64) -> LoadReport {
-        self.load_for(now_us, WorkKind::default())
-    }
-
-    /// Returns the load that the guard reports for a call of a kind of work, without `is_leaving`,
-    /// the pressure and the share of lost answers, which the guard fills in.
-    pub fn load_for(&self, now_us: u64, kind: WorkKind) -> LoadReport {
-        let rate_wait_us = self.pacer.wait_us(now_us, self.queue.len());
-        LoadReport {
-            threshold: threshold::threshold(&self.queue, self.queue_len_bound(now_us)),
-            in_flight: self.in_flight(),
-            limit: self.effective_limit(now_us),
-            queued: self.queue.len(),
-            is_leaving: false,
-            pressure_permille: 0,
-            lost_permille: 0,
-            rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
-            service_us: u32::try_from(self.service_times.kind_mean_us(kind)).unwrap_or(u32::MAX),
-        }
-    }
-
-    /// Returns the concurrency limit, or the mean number of calls at the target at its rate limit if
-    /// that is lower.
-    fn effective_limit(&self, now_us: u64) -> u32 {
-        let limit = self.limit.current();
-        let Some(per_s) = self.pacer.rate_per_s(now_us) else {
-            return limit;
-        };
-        let service_s = self.service_times.mean_us() as f64 / 1_000_000.0;
-        let mean_in_flight = (per_s * service_s).ceil() as u32;
-        limit.min(mean_in_flight.max(1))
-    }
-
-    fn in_flight(&self) -> u32 {
-        u32::try_from(self.running.len()).unwrap_or(u32::MAX)
-    }
-
-    /// Returns whether a call of a priority may be sent to the target now.
-    fn has_room_for(&self, now_us: u64, priority: Priority) -> bool {
-        self.has_slot_for(priority) && self.pacer.has_token(now_us)
-    }
-
-    /// Returns whether there is a slot for a call of a priority.
-    fn has_slot_for(&self, priority: Priority) -> bool {
-        let limit = self.limit.current();
-        if self.in_flight() >= limit {
-            return false;
-        }
-        if priority > Priority::Background {
-            return true;
-        }
-        self.background_running < self.background_max(limit)
-    }
-
-    /// Returns the maximum number of running background calls: the configured share of the limit,
-    /// but at least one, and fewer than the limit, so that at least one slot is left to other
-    /// calls.
-    fn background_max(&self, limit: u32) -> u32 {
-        let share = limit * self.settings.background_share_max_percent / 100;
-        share.max(1).min(limit.saturating_sub(1))
-    }
-
-    fn start(&mut self, now_us: u64, call: CallKey, priority: Priority, kind: WorkKind) {
-        if priority == Priority::Background {
-            self.background_running += 1;
-        }
-        let running = RunningCall {
-            started_us: now_us,
-            priority,
-            kind,
-        };
-        self.running.insert(call, running);
-        self.pacer.take(now_us);
-    }
-
-    /// Returns whether a call that starts after a wait has more time left before its deadline than
-    /// [`ServiceTimes::required_us`].
-    fn has_required_time(&self, now_us: u64, wait_us: u64, arrival: Arrival) -> bool {
-        let ends_us = now_us
-            .saturating_add(wait_us)
-            .saturating_add(self.service_times.required_us(now_us, arrival.kind));
-        ends_us < arrival.deadline_us
-    }
-
-    /// Queues an arrival that can't start now, or refuses it if it would miss its deadline or the
-    /// queue is full of calls of the same or a higher rank.
-    fn enqueue_or_refuse(&mut self, now_us: u64, arrival: Arrival) -> OfferResult {
-        let ahead = self.queue.count_ahead_of(arrival.rank);
-        let wait_us = self.expected_wait_us(now_us, ahead);
-        if !self.has_required_time(now_us, wait_us, arrival) {
-            let refusal = self.refusal(now_us, RefusalReason::Deadline);
-            return OfferResult::refused(refusal);
-        }
-        let queue_len_bound = self.queue_len_bound(now_us);
-        let reason = self.overload_reason(now_us);
-        if ahead >= queue_len_bound {
-            return OfferResult::refused(self.refusal(now_us, reason));
-        }
-        let mut evicted = Vec::new();
-        for lowest in self.queue.shrink_to(queue_len_bound - 1) {
-            evicted.push(EvictedCall {
-                call: lowest.call,
-                refusal: self.refusal(now_us, reason),
-            });
-        }
-        self.last_sequence += 1;
-        self.queue.push(QueuedCall {
-            queued_us: now_us,
-            rank: arrival.rank,
-            sequence: self.last_sequence,
-            call: arrival.call,
-            deadline_us: arrival.deadline_us,
-            kind: arrival.kind,
-        });
-        OfferResult {
-            outcome: AdmissionOutcome::Queued,
-            evicted,
-        }
-    }
-
-    /// Refuses queued calls that can't finish in time and starts the others, highest rank first,
-    /// while there is room.
-    fn dequeue(&mut self, now_us: u64) -> DequeuedCalls {
-        let mut dequeued = DequeuedCalls::default();
-        let times = &self.service_times;
-        let latest_start_us =
-            |call: &QueuedCall| times.latest_start_us(call.deadline_us, call.kind);
-        for late in self.queue.remove_late(now_us, latest_start_us) {
-            self.observe_refusal(now_us, late.kind);
-            dequeued.evicted.push(EvictedCall {
-                call: late.call,
-                refusal: Refusal {
-                    is_other_target_worthwhile: false,
-                    ..self.refusal(now_us, RefusalReason::Deadline)
-                },
-            });
-        }
-        while let Some(first) = self.queue.first() {
-            if !self.has_room_for(now_us, first.rank.priority) {
-                break;
-            }
-            let Some(first) = self.queue.pop_first() else {
-                break;
-            };
-            let wait_us = now_us.saturating_sub(first.queued_us);
-            let wait_us = self.pressure_wait_us(now_us, wait_us);
-            self.pressure.observe_wait(now_us, first.kind, wait_us);
-            self.start(now_us, first.call, first.rank.priority, first.kind);
-            dequeued.started.push(first.call);
-        }
-        dequeued
-    }
-
-    /// Returns the expected wait of a call with a number of others ahead of it in the queue.
-    fn expected_wait_us(&self, now_us: u64, ahead: u32) -> u64 {
-        let slot_wait_us = self.slot_wait_us(now_us, ahead);
-        slot_wait_us.max(self.pacer.wait_us(now_us, ahead))
-    }
-
-    /// Returns the expected wait for a slot of a call with a number of others ahead of it.
-    fn slot_wait_us(&self, now_us: u64, ahead: u32) -> u64 {
-        let limit = u64::from(self.limit.current().max(1));
-        (u64::from(ahead) + 1) * self.service_times.expected_us(now_us) / limit
-    }
-
-    /// Returns why a call is refused that the queue has no room for.
-    fn overload_reason(&self, now_us: u64) -> RefusalReason {
-        let ahead = self.queue.len();
-        match self.pacer.wait_us(now_us, ahead) > self.slot_wait_us(now_us, ahead) {
-            true => RefusalReason::RateLimit,
-            false => RefusalReason::Overload,
-        }
-    }
-
-    /// Returns the maximum queue length: `queue_len_max`, or fewer if the expected wait would
-    /// exceed `queue_wait_max_ms`. The bound by wait is at least one.
-    fn queue_len_bound(&self, now_us: u64) -> u32 {
-        let limit = self.limit.current();
-        let service_us = self.service_times.mean_us().max(1);
-        let wait_max_us = u64::from(self.settings.queue_wait_max_ms) * 1_000;
-        let by_time = u64::from(limit) * wait_max_us / service_us;
-        let by_time = u32::try_from(by_time).unwrap_or(u32::MAX);
-        let by_time = match self.pacer.rate_per_s(now_us) {
-            Some(per_s) => by_time.min((per_s * wait_max_us as f64 / 1_000_000.0) as u32),
-            None => by_time,
-        };
-        by_time.max(1).min(self.settings.queue_len_max)
-    }
-
-    /// Creates a refusal whose retry-after time is the time that the queue takes to drain.
-    fn refusal(&self, now_us: u64, reason: RefusalReason) -> Refusal {
-        let drain_us = self.expected_wait_us(now_us, self.queue.len());
-        let drain_ms = u32::try_from(drain_us / 1_000).unwrap_or(u32::MAX);
-        Refusal {
-            reason,
-            retry_after_ms: drain_ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
-            is_other_target_worthwhile: true,
-        }
-    }
-}
-
-impl OfferResult {
-    fn refused(refusal: Refusal) -> Self {
-        Self {
-            outcome: AdmissionOutcome::Refused(refusal),
-            evicted: Vec::new(),
-        }
-    }
 }
 
 impl Service for Admission {
