--- a/tests/losing_targets.rs
+++ b/tests/losing_targets.rs
@@ -4,16 +4,19 @@
 //! Such a target has few requests in flight, so by its load it is the best. Each of many daemons
 //! sends it a request now and then only, and sees few of the losses.
 
+#[path = "support/routers.rs"]
+mod routers;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 
-use dragonflylug::ids::{AvailabilityZone, MemberId, Priority, WorkKind};
-use dragonflylug::kernel::{Input, Kernel, Notice};
-use dragonflylug::membership::{Member, MemberState};
+use dragonflylug::ids::{Priority, WorkKind};
+use dragonflylug::kernel::Kernel;
 use dragonflylug::request::{LoadReport, Rank};
-use dragonflylug::routing::{AttemptOutcome, NAME, Router, RoutingSettings, TargetQuery};
+use dragonflylug::routing::{AttemptOutcome, NAME, Router, TargetQuery};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use routers::{SERVICE, new_sender, target_id, target_of};
 
 const SECOND_US: u64 = 1_000_000;
 const END_US: u64 = 12 * SECOND_US;
@@ -65,28 +68,6 @@
     is_lost: bool,
 }
 
-fn new_sender(id: u64) -> Kernel {
-    let mut kernel = Kernel::new(id);
-    let zone = AvailabilityZone::from("a");
-    let settings = RoutingSettings::default();
-    kernel.register(Box::new(Router::new(settings, zone, MemberId(id))));
-    kernel.start(0);
-    for target in 0..TARGETS as u64 {
-        let member = Member {
-            id: MemberId(100 + target),
-            address: ([127, 0, 0, 1], 1_000 + target as u16).into(),
-            availability_zone: "a".into(),
-            service: Some("bookings".into()),
-            slots: SLOTS,
-            state: MemberState::Alive,
-            incarnation: 1,
-            schema_version: 1,
-        };
-        kernel.handle(0, Input::Notice(Notice::MemberChanged(member)));
-    }
-    kernel
-}
-
 /// The shares of requests that went to the losing targets while they lost answers, and after they
 /// had recovered.
 struct Shares {
@@ -96,7 +77,9 @@
 
 fn simulate(reports_losses: bool) -> Shares {
     let mut rng = ChaCha8Rng::seed_from_u64(5);
-    let mut senders: Vec<Kernel> = (0..SENDERS as u64).map(|id| new_sender(1 + id)).collect();
+    let mut senders: Vec<Kernel> = (0..SENDERS as u64)
+        .map(|id| new_sender(1 + id, TARGETS, SLOTS))
+        .collect();
     let mut targets = [SimulatedTarget::default(); TARGETS];
     let mut ends: BinaryHeap<Reverse<(u64, End)>> = BinaryHeap::new();
     let mut starts_us: Vec<u64> = Vec::new();
@@ -119,14 +102,14 @@
                 false => AttemptOutcome::Answered,
             };
             let load = target.report(reports_losses);
-            let member = MemberId(100 + end.target as u64);
+            let member = target_id(end.target);
             let latency_us = ended_us - end.sent_us;
             let router: &mut Router = senders[end.sender].find(NAME).unwrap();
             router.record_outcome(ended_us, member, outcome, latency_us, Some(load));
         }
         let sender = rng.random_range(0..SENDERS);
         let query = TargetQuery {
-            service: &"bookings".into(),
+            service: &SERVICE.into(),
             rank: Rank::of_priority(Priority::Normal),
             kind: WorkKind::default(),
             excluded: &[],
@@ -134,7 +117,7 @@
         let router: &mut Router = senders[sender].find(NAME).unwrap();
         let member = router.choose(now_us, &mut rng, &query).unwrap().member;
         router.record_sent(now_us, member);
-        let target = member.0 as usize - 100;
+        let target = target_of(member);
         targets[target].running += 1;
         let is_losing = target < LOSING_TARGETS;
         let loses_now = (LOSING_FROM_US..LOSING_UNTIL_US).contains(&now_us);
--- a/tests/mixed_work.rs
+++ b/tests/mixed_work.rs
@@ -4,16 +4,19 @@
 //! deployment of many VMs. A target that has run long work must not be avoided by short calls while
 //! calls wait elsewhere.
 
+#[path = "support/routers.rs"]
+mod routers;
+
 use std::cmp::Reverse;
 use std::collections::{BinaryHeap, VecDeque};
 
-use dragonflylug::ids::{AvailabilityZone, MemberId, Priority, RouteName, WorkKind};
-use dragonflylug::kernel::{Input, Kernel, Notice};
-use dragonflylug::membership::{Member, MemberState};
+use dragonflylug::ids::{Priority, RouteName, WorkKind};
+use dragonflylug::kernel::Kernel;
 use dragonflylug::request::{LoadReport, Rank};
-use dragonflylug::routing::{AttemptOutcome, NAME, Router, RoutingSettings, TargetQuery};
+use dragonflylug::routing::{AttemptOutcome, NAME, Router, TargetQuery};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
+use routers::{SERVICE, new_sender, target_id, target_of};
 
 const SECOND_US: u64 = 1_000_000;
 const END_US: u64 = 20 * SECOND_US;
@@ -121,7 +124,7 @@
     fn new(compares_kinds: bool) -> Self {
         let mut senders = Vec::new();
         for sender in 0..SHORT_SENDERS + LONG_SENDERS {
-            senders.push(new_sender(1 + sender as u64));
+            senders.push(new_sender(1 + sender as u64, TARGETS, SLOTS as u32));
         }
         Self {
             rng: ChaCha8Rng::seed_from_u64(3),
@@ -155,7 +158,7 @@
     }
 
     fn send(&mut self, now_us: u64, sender: usize, work: Work) {
-        let service = "bookings".into();
+        let service = SERVICE.into();
         let query = TargetQuery {
             service: &service,
             rank: Rank::of_priority(Priority::Normal),
@@ -165,7 +168,7 @@
         let router: &mut Router = self.senders[sender].find(NAME).unwrap();
         let member = router.choose(now_us, &mut self.rng, &query).unwrap().member;
         router.record_sent(now_us, member);
-        let target = member.0 as usize - 100;
+        let target = target_of(member);
         self.targets[target].queue.push_back(Call {
             sender,
             work,
@@ -206,7 +209,7 @@
         let report = state.report(self.compares_kinds.then_some(call.work));
         let latency_us = now_us - call.sent_us;
         let kind = self.kind(call.work);
-        let member = MemberId(100 + target as u64);
+        let member = target_id(target);
         let router: &mut Router = self.senders[call.sender].find(NAME).unwrap();
         let outcome = AttemptOutcome::Answered;
         router.record_outcome(now_us, member, outcome, latency_us, Some(report));
@@ -218,28 +221,6 @@
     }
 }
 
-fn new_sender(id: u64) -> Kernel {
-    let mut kernel = Kernel::new(id);
-    let zone = AvailabilityZone::from("a");
-    let settings = RoutingSettings::default();
-    kernel.register(Box::new(Router::new(settings, zone, MemberId(id))));
-    kernel.start(0);
-    for target in 0..TARGETS as u64 {
-        let member = Member {
-            id: MemberId(100 + target),
-            address: ([127, 0, 0, 1], 1_000 + target as u16).into(),
-            availability_zone: "a".into(),
-            service: Some("bookings".into()),
-            slots: SLOTS as u32,
-            state: MemberState::Alive,
-            incarnation: 1,
-            schema_version: 1,
-        };
-        kernel.handle(0, Input::Notice(Notice::MemberChanged(member)));
-    }
-    kernel
-}
-
 /// Returns the share of short calls that end within their latency target.
 fn in_time_share(compares_kinds: bool) -> f64 {
     let mut simulation = Simulation::new(compares_kinds);
