--- a/src/host/caller/connection.rs
+++ b/src/host/caller/connection.rs
@@ -20,6 +20,7 @@
 use super::request_reader::{ReadEvent, ReadRequest, RequestReader};
 use super::response_encoder::{CONTINUE, Persistence, encode_head, may_have_body};
 use crate::host::http::Rejection;
+use crate::metrics::Counter;
 use crate::request::CallRequest;
 
 /// How long a closed connection still discards what the caller sent, so that unread bytes do not
@@ -162,8 +163,10 @@
         self.pipeline.is_empty() && self.held.is_none() && self.reader.is_idle()
     }
 
-    /// Starts a request, or holds it until it may start.
+    /// Starts a request, or holds it until it may start. Its body is complete, so it needs no interim
+    /// response any more.
     fn accept(&mut self, request: ReadRequest) {
+        self.is_continue_due = false;
         if !request.keeps_alive {
             self.pipeline.end_reading();
         }
@@ -189,6 +192,8 @@
         let permit = Arc::clone(&self.server.pipelined).try_acquire_owned();
         match permit {
             Ok(permit) if self.pipeline.may_start(held.is_idempotent) => {
+                let metrics = self.server.node.metrics();
+                metrics.add(Counter::unlabelled("pipelined_requests"), 1);
                 self.start(held, Some(permit));
             }
             _ => self.held = Some(held),
