--- a/src/host/caller/request_reader.rs
+++ b/src/host/caller/request_reader.rs
@@ -120,7 +120,7 @@
     }
 
     /// Waits until the caller closes the connection. Sees that only while less than
-    /// [`READ_AHEAD_BYTES_MAX`] are waiting. Dropping the future loses nothing.
+    /// `READ_AHEAD_BYTES_MAX` bytes are waiting. Dropping the future loses nothing.
     pub async fn closed(&mut self) {
         while self.buffer.len() < READ_AHEAD_BYTES_MAX {
             if !self.fill().await {
