--- a/src/host/caller.rs
+++ b/src/host/caller.rs
@@ -169,7 +169,7 @@
         })
     }
 
-    /// From now on closes each connection after its next response.
+    /// From now on closes each connection as soon as the requests on it are answered.
     pub fn close_after_response(&self) {
         self.keeps_connections_alive.store(false, Ordering::Relaxed);
     }
