--- a/standins/src/target.rs
+++ b/standins/src/target.rs
@@ -30,6 +30,10 @@
 /// The request header that asks for an answer of this many bytes instead of an echo.
 pub const ANSWER_BYTES_HEADER: &str = "x-standin-answer-bytes";
 
+/// The request header that ends the process of the target while it runs the request, after this many
+/// microseconds. It starts again after a while.
+pub const CRASH_AFTER_US_HEADER: &str = "x-standin-crash-after-us";
+
 /// The answer header that names the rate that the target accepts, in requests per second.
 const RATE_LIMIT_HEADER: &str = "x-dragonflylug-rate-limit";
 
@@ -56,7 +60,8 @@
         let listener = TcpListener::bind(config.bind).await?;
         let address = listener.local_addr()?;
         let state = Arc::new(State::new(config));
-        let mut tasks = vec![tokio::spawn(http::serve(listener, state.clone())).abort_handle()];
+        let mut tasks =
+            vec![tokio::spawn(http::serve(listener, address, state.clone())).abort_handle()];
         if let Some(daemon) = state.config.announce_address {
             let announcing = announce::run(daemon, address, state.clone());
             tasks.push(tokio::spawn(announcing).abort_handle());
@@ -93,6 +98,17 @@
         self.state.run_starts()
     }
 
+    /// Returns the times at which its runs started whose body has `key` as the value of its field
+    /// `key`.
+    pub fn run_starts_with_key(&self, key: &str) -> Vec<std::time::Instant> {
+        self.state.run_starts_with_key(key)
+    }
+
+    /// Returns the times at which its process ended.
+    pub fn ends(&self) -> Vec<std::time::Instant> {
+        self.state.ends()
+    }
+
     /// Returns a copy of the log of what it ran so far.
     pub fn log(&self) -> RunLog {
         self.state.log()
--- a/standins/src/target/announce.rs
+++ b/standins/src/target/announce.rs
@@ -34,12 +34,15 @@
 
 /// Sends one announcement; errors are ignored, and the next period sends another.
 async fn announce(daemon: SocketAddr, address: SocketAddr, state: &State) {
+    let Some(instance) = state.instance() else {
+        return;
+    };
     let announcement = Announcement {
         service: &state.config.service,
         address,
         slots: state.config.slots,
         connections: state.config.connections,
-        instance: &state.instance,
+        instance: &instance,
         is_draining: state.is_draining(),
     };
     let Ok(body) = serde_json::to_vec(&announcement) else {
--- a/standins/src/target/execution.rs
+++ b/standins/src/target/execution.rs
@@ -10,7 +10,7 @@
 use super::config::{Behaviour, TargetMode};
 use super::log::{Run, RunState};
 use super::state::{State, whole_micros};
-use super::{ANSWER_BYTES_HEADER, SERVICE_US_HEADER};
+use super::{ANSWER_BYTES_HEADER, CRASH_AFTER_US_HEADER, SERVICE_US_HEADER};
 
 /// The header that identifies a request.
 const REQUEST_HEADER: &str = "x-dragonflylug-request";
@@ -108,6 +108,11 @@
         };
         let behaviour = state.behaviour();
         let mut run = RunRecorder::start(state, self);
+        if let Some(after_us) = self.header_number(CRASH_AFTER_US_HEADER) {
+            tokio::time::sleep(Duration::from_micros(after_us)).await;
+            state.crashed.notify_one();
+            std::future::pending::<()>().await;
+        }
         match behaviour.mode {
             TargetMode::Hang => std::future::pending::<()>().await,
             TargetMode::Error => {
--- a/standins/src/target/state.rs
+++ b/standins/src/target/state.rs
@@ -14,11 +14,11 @@
 /// The state that the connections of a target stand-in share.
 pub(super) struct State {
     pub(super) config: TargetConfig,
-    /// The identifier of this start.
-    pub(super) instance: String,
     pub(super) connections: Arc<Semaphore>,
     pub(super) announcement_changed: Notify,
     pub(super) client: DaemonClient,
+    /// Notified when a request ends the process.
+    pub(super) crashed: Notify,
     slots: Arc<Semaphore>,
     start: Instant,
     inner: Mutex<LockedState>,
@@ -27,6 +27,9 @@
 /// The mutable part of the state.
 struct LockedState {
     behaviour: Behaviour,
+    /// The identifier of the current start; `None` while the process has ended.
+    instance: Option<String>,
+    ends: Vec<Instant>,
     drain_start: Option<Instant>,
     waiting: u32,
     rng: ChaCha8Rng,
@@ -46,16 +49,18 @@
     pub(super) fn new(config: TargetConfig) -> Self {
         let inner = LockedState {
             behaviour: config.behaviour.clone(),
+            instance: Some(new_instance()),
+            ends: Vec::new(),
             drain_start: None,
             waiting: 0,
             rng: ChaCha8Rng::seed_from_u64(config.seed),
             log: RunLog::default(),
         };
         Self {
-            instance: format!("{:016x}", rand::random::<u64>()),
             connections: Arc::new(Semaphore::new(config.connections as usize)),
             announcement_changed: Notify::new(),
             client: build_client(),
+            crashed: Notify::new(),
             slots: Arc::new(Semaphore::new(config.slots as usize)),
             start: Instant::now(),
             inner: Mutex::new(inner),
@@ -75,6 +80,28 @@
         self.lock().behaviour = behaviour;
     }
 
+    /// Returns the identifier of the current start; `None` while the process has ended.
+    pub(super) fn instance(&self) -> Option<String> {
+        self.lock().instance.clone()
+    }
+
+    /// Records that the process ended.
+    pub(super) fn end_process(&self) {
+        let mut inner = self.lock();
+        inner.instance = None;
+        inner.ends.push(Instant::now());
+    }
+
+    /// Records that the process started again.
+    pub(super) fn start_process(&self) {
+        self.lock().instance = Some(new_instance());
+        self.announcement_changed.notify_one();
+    }
+
+    pub(super) fn ends(&self) -> Vec<Instant> {
+        self.lock().ends.clone()
+    }
+
     pub(super) fn drain(&self) {
         self.lock().drain_start.get_or_insert_with(Instant::now);
         self.announcement_changed.notify_one();
@@ -97,6 +124,16 @@
         starts
     }
 
+    pub(super) fn run_starts_with_key(&self, key: &str) -> Vec<Instant> {
+        let mut starts = Vec::new();
+        for run in &self.lock().log.runs {
+            if run.key.as_deref() == Some(key) {
+                starts.push(self.start + Duration::from_micros(run.started_us));
+            }
+        }
+        starts
+    }
+
     pub(super) fn record_refused_connection(&self) {
         self.lock().log.connections_refused += 1;
     }
@@ -155,6 +192,10 @@
     }
 }
 
+fn new_instance() -> String {
+    format!("{:016x}", rand::random::<u64>())
+}
+
 /// Returns a duration in whole microseconds.
 pub(super) fn whole_micros(duration: Duration) -> u64 {
     u64::try_from(duration.as_micros()).unwrap_or(u64::MAX)
--- a/tests/support/soak_callers.rs
+++ b/tests/support/soak_callers.rs
@@ -32,6 +32,7 @@
 pub struct Reply {
     pub status: u16,
     pub verdict: String,
+    pub reason: String,
     pub ticket: Option<String>,
     pub body: Vec<u8>,
 }
@@ -52,6 +53,8 @@
     pub answered: u64,
     /// Descriptions of successful answers whose body is not the one that the request sent.
     pub mismatched_answers: Vec<String>,
+    /// The bodies of lookups that were refused as if they ended targets.
+    pub quarantined: Vec<String>,
     pub payments: Vec<Payment>,
 }
 
@@ -62,11 +65,17 @@
 }
 
 impl Callers {
-    /// Starts callers that send to the entries in round-robin order.
+    /// Starts callers that send to the entries in round-robin order, and one more whose requests end
+    /// targets.
     pub fn start(entries: &[SocketAddr], count: usize) -> Self {
         let stop = Arc::new(AtomicBool::new(false));
         let next_number = Arc::new(AtomicU64::new(1));
         let mut threads = Vec::new();
+        let (crashing_stop, crashing_entries) = (stop.clone(), entries.to_vec());
+        threads.push(std::thread::spawn(move || {
+            send_crashing_requests(&crashing_stop, &crashing_entries);
+            Observations::default()
+        }));
         for index in 0..count {
             let (stop, next_number) = (stop.clone(), next_number.clone());
             let entries = entries.to_vec();
@@ -86,12 +95,38 @@
             all.lookups += observed.lookups;
             all.answered += observed.answered;
             all.mismatched_answers.extend(observed.mismatched_answers);
+            all.quarantined.extend(observed.quarantined);
             all.payments.extend(observed.payments);
         }
         all
     }
 }
 
+/// The field `key` in the body of the requests that end targets.
+pub const CRASHING_KEY: &str = "crash";
+
+/// The pause between two of them.
+const CRASHING_PAUSE: Duration = Duration::from_millis(250);
+
+/// Sends a request that ends the targets that run it, at one entry after the other, until stopped.
+fn send_crashing_requests(stop: &AtomicBool, entries: &[SocketAddr]) {
+    let body = format!("{{\"key\":\"{CRASHING_KEY}\"}}");
+    let header = "x-standin-crash-after-us: 5000\r\n";
+    let mut turn = 0;
+    while !stop.load(Ordering::Relaxed) {
+        turn += 1;
+        // Its reply may be lost like any other.
+        let _ = send(
+            entries[turn % entries.len()],
+            "PUT",
+            "/lookups/free",
+            header,
+            &body,
+        );
+        std::thread::sleep(CRASHING_PAUSE);
+    }
+}
+
 /// Sends lookups and payments until `stop` is set, starting with the entry after `index`.
 fn run_caller(
     stop: &AtomicBool,
@@ -156,6 +191,9 @@
 
 impl Observations {
     fn record_lookup(&mut self, body: &str, reply: &Reply) {
+        if reply.reason == "quarantined" {
+            self.quarantined.push(body.to_string());
+        }
         if reply.verdict != "ran" || reply.status != 200 {
             return;
         }
@@ -242,6 +280,7 @@
     let mut reply = Reply {
         status: head.split_whitespace().nth(1)?.parse().ok()?,
         verdict: String::new(),
+        reason: String::new(),
         ticket: None,
         body: Vec::new(),
     };
@@ -250,6 +289,7 @@
         let (name, value) = line.split_once(": ")?;
         match name {
             "x-dragonflylug-verdict" => reply.verdict = value.to_string(),
+            "x-dragonflylug-reason" => reply.reason = value.to_string(),
             "x-dragonflylug-tickets" => reply.ticket = value.split(',').next().map(str::to_string),
             "content-length" => length = value.parse::<usize>().ok(),
             _ => {}
