--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -9,6 +9,7 @@
 mod losses;
 mod parent;
 mod shed;
+mod target_ends;
 
 pub use parent::Parent;
 
@@ -29,8 +30,8 @@
 use crate::target::{Announcement, ConditionTracker};
 use crate::verdict::{Refusal, RefusalReason, Verdict};
 use drain::PlannedStop;
-use isolation::Isolation;
 use losses::LostShare;
+use target_ends::TargetEnds;
 
 /// The name of the kernel service that runs calls on the target beside the daemon.
 pub const NAME: &str = "guard";
@@ -77,7 +78,9 @@
     leaving_since_us: Option<u64>,
     release_timer_us: Option<u64>,
     lost_share: LostShare,
-    isolation: Isolation,
+    ends: TargetEnds,
+    /// The requests that are held back from the target, in the order in which they came.
+    held: Vec<CallKey>,
 }
 
 /// A request at the guard.
@@ -153,7 +156,8 @@
             leaving_since_us: None,
             release_timer_us: None,
             lost_share: LostShare::default(),
-            isolation: Isolation::default(),
+            ends: TargetEnds::default(),
+            held: Vec::new(),
         }
     }
 
