--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -1,9 +1,11 @@
 //! The entry role: accepts calls, chooses targets, retries within an allowance and replies.
 
 mod attempt;
+mod call;
 mod deferred;
 mod finish;
 mod known_conditions;
+mod origin;
 mod plan;
 mod response;
 mod retries;
@@ -16,22 +18,18 @@
 use std::net::SocketAddr;
 
 use macro_rules_attribute::apply;
-use rand::RngExt;
 
-use super::guard::{self, Guard};
-use crate::calls;
-use crate::decision::{Decision, DecisionInputs, Step};
 use crate::derives::settings;
 use crate::ids::{CallKey, MemberId, OutboundKey};
 use crate::kernel::{Context, Event, Notice, Service};
-use crate::pressure::{self, ArrivingRequest, Pressures, ShedBasis};
 use crate::request::{CallRequest, RunKey};
-use crate::retry::{self, Allowance, ServiceBudgets};
 use crate::run_once;
 use crate::sorted::SortedMap;
-use crate::verdict::{Doubt, DoubtReason, RefusalReason, Verdict};
+use crate::verdict::{DoubtReason, RefusalReason, Verdict};
+use call::EntryCall;
 use deferred::{DEFER_TIMER_TAG, DeferredCalls};
 use known_conditions::KnownConditions;
+use origin::{attribute_to_repeat, may_come_from_target};
 use plan::Plan;
 use tickets::TicketStock;
 
@@ -92,37 +90,6 @@
     stopping_since_us: Option<u64>,
 }
 
-/// A call that this daemon has accepted.
-struct EntryCall {
-    request: CallRequest,
-    plan: Plan,
-    accepted_us: u64,
-    /// The run key that attempts carry: the key of the request, or a ticket that this daemon added.
-    run_key: RunKey,
-    /// Whether this daemon obtained the ticket for this call, so that no earlier repeat of the
-    /// request has used it.
-    is_own_ticket: bool,
-    allowance: Allowance,
-    pending_requests: Vec<PendingRequest>,
-    /// The members that the request was sent to, or that were asked for tickets without success;
-    /// the latest is last. The router chooses none of them. Cleared if a lost connection is to be
-    /// retried and no other target is left.
-    excluded_members: Vec<MemberId>,
-    /// How many attempts after a refusal by a leaving target spent no retry.
-    free_forwards: u32,
-    /// How many attempts after one that reached no target spent no retry.
-    free_placements: u32,
-    /// Whether guards count the attempts as repeats: a retry was spent, or the call was attributed
-    /// to a repeat that runs at the target beside this daemon.
-    counts_as_repeat: bool,
-    /// What decides whether the call is shed; `None` if it is never shed.
-    arriving: Option<ArrivingRequest>,
-    was_sent: bool,
-    /// The doubt of the latest attempt that may have run. Without a run key it takes precedence
-    /// over a later refusal.
-    doubt: Option<Doubt>,
-}
-
 /// A peer request that waits for its response.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 struct PendingRequest {
@@ -294,109 +261,6 @@
     }
 }
 
-/// Returns whether a routed request may be a child call of the target beside this daemon.
-///
-/// A child call has no more time left than the request that the target works on. A request with
-/// more time left than each running request is therefore taken for a new request of a caller; any
-/// other may be a child call.
-fn may_come_from_target(context: &mut Context<'_>, request: &CallRequest) -> bool {
-    let now_us = context.now_us();
-    let Some(left_ms) = request.deadline_left_ms else {
-        return false;
-    };
-    let guard = context.find::<Guard>(guard::NAME);
-    guard.is_some_and(|guard| guard.may_have_called(now_us, left_ms))
-}
-
-/// Decides at random whether a child call counts as made by a repeat; if so, records it as a repeat
-/// in the budget of the called service. Returns whether it counts so.
-///
-/// Routed child calls name no parent, so the probability is the share of repeats among the requests
-/// that run.
-fn attribute_to_repeat(context: &mut Context<'_>, request: &CallRequest) -> bool {
-    if !request.is_from_target {
-        return false;
-    }
-    let guard = context.find::<Guard>(guard::NAME);
-    let share = guard.map_or(0.0, |guard| guard.repeat_share());
-    if share == 0.0 || !context.fork_rng().random_bool(share) {
-        return false;
-    }
-    let now_us = context.now_us();
-    if let Some(budgets) = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME) {
-        budgets.record_repeat(now_us, &request.service);
-    }
-    true
-}
-
-impl EntryCall {
-    /// Returns whether the request must run at most once and has no run key yet.
-    fn needs_ticket(&self) -> bool {
-        let is_once = !self.plan.policy.is_idempotent && self.request.routed.is_none();
-        is_once && self.run_key == RunKey::None
-    }
-
-    fn is_unkeyed(&self) -> bool {
-        self.run_key == RunKey::None
-    }
-
-    /// Returns the inputs that all logged decisions on the call have in common.
-    fn decision_inputs(&self, context: &mut Context<'_>) -> DecisionInputs {
-        let now_us = context.now_us();
-        let left_us = self.plan.deadline_us.saturating_sub(now_us);
-        DecisionInputs {
-            left_ms: u32::try_from(left_us / 1_000).unwrap_or(u32::MAX),
-            elapsed_ms: u32::try_from((now_us - self.accepted_us) / 1_000).unwrap_or(u32::MAX),
-            config_version: calls::config_version(context),
-            ..DecisionInputs::default()
-        }
-    }
-
-    /// Logs a decision on the call if it is routed, as only routed calls have a trace identifier.
-    /// `is_ordinary` marks lines that are dropped first if there are too many.
-    fn log_decision(
-        &self,
-        context: &mut Context<'_>,
-        step: Step,
-        outcome: &'static str,
-        is_ordinary: bool,
-        inputs: DecisionInputs,
-    ) {
-        let Some(trace_id) = self.trace_id() else {
-            return;
-        };
-        context.log_decision(Decision {
-            trace_id,
-            service: self.request.service.clone(),
-            step,
-            outcome,
-            is_ordinary,
-            inputs,
-        });
-    }
-
-    /// Returns what the decision not to shed the call is based on; `None` if it is never shed.
-    fn shed_basis(&self, context: &mut Context<'_>) -> Option<ShedBasis> {
-        let request = self.arriving?;
-        let route = self.route()?;
-        let now_us = context.now_us();
-        let pressures = context.find::<Pressures>(pressure::NAME)?;
-        let reported = pressures.reported_pressure(now_us, &route);
-        Some(ShedBasis {
-            request,
-            pressure_permille: (reported * 1_000.0) as u16,
-        })
-    }
-
-    fn remove_pending_request(&mut self, outbound_key: OutboundKey) -> Option<PendingRequest> {
-        let index = self
-            .pending_requests
-            .iter()
-            .position(|pending| pending.outbound_key == outbound_key)?;
-        Some(self.pending_requests.swap_remove(index))
-    }
-}
-
 impl Service for Entry {
     fn name(&self) -> &'static str {
         NAME
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -1,6 +1,8 @@
 //! The kernel service that shares records with other daemons and keeps quarantines in the platform's
 //! table.
 
+mod table_requests;
+
 use std::net::SocketAddr;
 
 use rand::{Rng, SeedableRng};
@@ -17,7 +19,7 @@
 use crate::metrics::Counter;
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::sorted::SortedMap;
-use crate::table::{PlatformError, TableRequest, TableResponse};
+use crate::table::TableRequest;
 
 /// How long records wait for others before they are pushed together.
 const PUSH_DELAY_US: u64 = 2_000;
@@ -32,9 +34,6 @@
 /// The time between two comparisons meanwhile.
 const CATCH_UP_PERIOD_US: u64 = 250_000;
 
-/// The maximum pause before a request to the table is repeated.
-const TABLE_RETRY_MAX_MS: u32 = 5_000;
-
 /// The timers of the service.
 #[derive(Clone, Copy)]
 enum Timer {
@@ -329,99 +328,6 @@
             self.handle_contents(context, peer, digest, records);
         }
     }
-
-    fn read_rows(&mut self, context: &mut Context<'_>) {
-        let request = rows::read_request();
-        self.send_table_request(context, request, Pending::ReadRows);
-    }
-
-    fn change_row(&mut self, context: &mut Context<'_>, request: TableRequest) {
-        let pending = Pending::ChangeRow(request.clone());
-        self.send_table_request(context, request, pending);
-    }
-
-    fn send_table_request(
-        &mut self,
-        context: &mut Context<'_>,
-        request: TableRequest,
-        purpose: Pending,
-    ) {
-        let timeout_us = u64::from(self.settings.table_timeout_ms) * 1_000;
-        let key = context.send_table_request(request, timeout_us);
-        self.pending.insert(key, purpose);
-    }
-
-    /// Handles a response of the table; a request that failed is repeated after a while.
-    fn handle_table_response(
-        &mut self,
-        context: &mut Context<'_>,
-        key: OutboundKey,
-        result: Result<TableResponse, PlatformError>,
-    ) {
-        let Some(purpose) = self.pending.remove(&key) else {
-            return;
-        };
-        match (purpose, result) {
-            (Pending::ReadRows, Ok(TableResponse::Rows(rows))) => self.handle_rows(context, &rows),
-            (Pending::ChangeRow(request), Err(error)) => {
-                self.repeat_later(context, request, error);
-            }
-            (Pending::ReadRows, Err(error)) => {
-                self.repeat_later(context, rows::read_request(), error);
-            }
-            _ => self.table_backoff.reset(),
-        }
-    }
-
-    fn handle_rows(&mut self, context: &mut Context<'_>, rows: &[crate::table::Row]) {
-        self.table_backoff.reset();
-        let mut records = Records::default();
-        for row in rows {
-            match rows::decode(row) {
-                Ok(record) => records.quarantines.push(record),
-                Err(error) => {
-                    let detail = format!("{}: {error}", row.key);
-                    context.log(StateChange::new("quarantine", "ignored a row", detail));
-                }
-            }
-        }
-        if !records.is_empty() {
-            let detail = format!("{} requests", records.quarantines.len());
-            context.log(StateChange::new(
-                "quarantine",
-                "read the stored rows",
-                detail,
-            ));
-        }
-        self.merge(context, records);
-    }
-
-    fn repeat_later(
-        &mut self,
-        context: &mut Context<'_>,
-        request: TableRequest,
-        error: PlatformError,
-    ) {
-        if self.failed_requests.is_empty() {
-            let delay_us = self
-                .table_backoff
-                .next_us(TABLE_RETRY_MAX_MS, &mut self.rng);
-            context.set_timer(delay_us, Timer::Table as u64);
-            let detail = format!("{error:?}");
-            let change = "a request to the table failed; it is repeated";
-            context.log(StateChange::new("quarantine", change, detail));
-        }
-        self.failed_requests.push(request);
-    }
-
-    fn repeat_table_requests(&mut self, context: &mut Context<'_>) {
-        for request in std::mem::take(&mut self.failed_requests) {
-            match request {
-                TableRequest::Scan { .. } => self.read_rows(context),
-                request => self.change_row(context, request),
-            }
-        }
-    }
 }
 
 impl Service for Quarantine {
--- a/tests/run_once.rs
+++ b/tests/run_once.rs
@@ -8,6 +8,8 @@
 mod cases;
 #[path = "support/network.rs"]
 mod network;
+#[path = "support/peer_calls.rs"]
+mod peer_calls;
 #[path = "support/run_once_driver.rs"]
 mod run_once_driver;
 
