--- a/src/quarantine/evidence.rs
+++ b/src/quarantine/evidence.rs
@@ -24,6 +24,18 @@
 /// The number of reports from which a request is a suspect.
 const SUSPECT_CRASHES: u32 = 2;
 
+/// Two reports of completions of a request that are no more than this apart count as one; a report
+/// that arrives twice has slightly different times.
+const SAME_TIME_US: i64 = 1_000_000;
+
+/// The tolerance when the times of a completion and of an end are compared: ages do not count the time
+/// on the way.
+const COMPLETION_SLACK_US: i64 = 500_000;
+
+/// The seeds of the hashes of ends and completions in the digest.
+const CRASH_SEED: u64 = 1;
+const COMPLETION_SEED: u64 = 2;
+
 /// An ended target. Times are those of this daemon's clock, and negative before its start.
 struct Crash {
     origin: MemberId,
@@ -277,10 +289,10 @@
     pub fn digest(&self) -> u64 {
         let mut digest = 0;
         for id in self.crashes.keys() {
-            digest ^= hash(1, &[id.0]);
+            digest ^= hash(CRASH_SEED, &[id.0]);
         }
         for request in self.completions.keys() {
-            digest ^= hash(2, &request.digest);
+            digest ^= hash(COMPLETION_SEED, &request.digest);
         }
         for (request, quarantined) in self.quarantines.iter() {
             digest ^= hash(quarantined.last_crash.0, &request.digest);
@@ -338,14 +350,6 @@
     }
 }
 
-/// Two reports of completions of a request that are no more than this apart count as one; a report
-/// that arrives twice has slightly different times.
-const SAME_TIME_US: i64 = 1_000_000;
-
-/// The tolerance when the times of a completion and of an end are compared: ages do not count the time
-/// on the way.
-const COMPLETION_SLACK_US: i64 = 500_000;
-
 /// Returns whether a request that completed at a time did not end a target that ended before.
 fn refutes(completed_us: i64, ended_us: i64) -> bool {
     ended_us <= completed_us + COMPLETION_SLACK_US
