--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -12,17 +12,19 @@
 mod routed;
 
 use dragonflylug::calls::entry::EntrySettings;
+use dragonflylug::config::{self, Policy, RequestKind, ServiceRecord, Submission};
 use dragonflylug::headers;
-use dragonflylug::ids::{CallKey, RequestId};
-use dragonflylug::kernel::{CallReply, TargetOutcome};
-use dragonflylug::metrics::Counter;
+use dragonflylug::ids::{CallKey, Priority, RequestId};
+use dragonflylug::kernel::{CallReply, Event, TargetOutcome};
+use dragonflylug::metrics::{Counter, RetryReason};
+use dragonflylug::operator::OperatorRequest;
 use dragonflylug::peer::PeerRequest;
-use dragonflylug::request::CallRequest;
+use dragonflylug::request::{CallRequest, ClaimKey, RunKey};
 use dragonflylug::retry::ServiceBudgetSettings;
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 use network::{ChildCall, Network, PlatformFault};
-use nodes::{CONVERGENCE_US, NodeSpec, add_node, add_node_with_routes, call, request};
+use nodes::{CONVERGENCE_US, NodeSpec, add_node, add_node_with_routes, call, exchange, request};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 use routed::{PAYMENT, READ, ok_outcome, route_table, routed_request};
@@ -55,6 +57,9 @@
 const REPEAT_PERIOD_US: u64 = 200_000;
 const REPEATED_FOR_US: u64 = 40 * SECOND_US;
 
+/// When a hedge is sent; before the target ends.
+const HEDGE_AFTER_MS: u32 = 20;
+
 /// The lowest key of the calls that a test makes beside.
 const OTHER_KEYS: u64 = 1_000_000;
 
@@ -119,6 +124,42 @@
     network
 }
 
+/// As [`unrouted_network`], with a record that asks for hedges before a target ends.
+fn hedged_network() -> Network {
+    let mut network = unrouted_network();
+    let policy = Policy {
+        priority: Priority::Normal,
+        is_idempotent: true,
+        retries: 3,
+        deadline_ms: 2_000,
+        hedge_after_ms: HEDGE_AFTER_MS,
+    };
+    let kind = RequestKind {
+        method: "GET".into(),
+        path_prefix: "/".into(),
+        policy,
+    };
+    let record = ServiceRecord {
+        schema_version: 2,
+        service: SERVICE.into(),
+        kinds: vec![kind],
+    };
+    let submission = Submission {
+        change_id: "hedge".into(),
+        expected_version: 0,
+        records: vec![record],
+        removed: Vec::new(),
+    };
+    let submit = Event::OperatorRequest {
+        call: CallKey(0),
+        request: OperatorRequest::Submit(submission),
+    };
+    network.deliver_event(0, config::NAME, submit);
+    let settled_us = network.now_us + CONVERGENCE_US;
+    network.run_until(settled_us);
+    network
+}
+
 fn with_body(mut request: CallRequest, body: &str) -> CallRequest {
     request.http.body = body.to_string().into();
     request.deadline_left_ms = Some(2_000);
@@ -137,6 +178,15 @@
     with_body(request(SERVICE, "GET", "/shelters/2f"), CRASHING_BODY)
 }
 
+fn crashing_claim(id: u64) -> CallRequest {
+    let mut request = with_body(request(SERVICE, "POST", "/shelters/2f"), CRASHING_BODY);
+    request.run_key = RunKey::Claim(ClaimKey {
+        key: format!("key {id}"),
+        is_first_attempt: true,
+    });
+    request
+}
+
 /// Sends a request again and again, at one node after the other.
 fn repeat(network: &mut Network, first_key: u64, for_us: u64, make: fn(u64) -> CallRequest) {
     let until_us = network.now_us + for_us;
@@ -221,6 +271,7 @@
 struct PathCase {
     network: fn() -> Network,
     make: fn(u64) -> CallRequest,
+    is_hedged: bool,
 }
 
 fn check_path(case: PathCase) {
@@ -229,6 +280,8 @@
     let ends = ends_us(&network).len();
     assert!((ENDS..=ENDS_MAX).contains(&ends), "{ends} targets ended");
     check_late_runs(&network);
+    let hedges = network.counter_total(Counter::retry(RetryReason::Hedge));
+    assert_eq!(hedges > 0, case.is_hedged);
     let replies = replies_from(&network, 1);
     check_refusals(&network, &replies);
     let last = &replies.last().unwrap().1;
@@ -239,15 +292,48 @@
     read_that_ends_its_targets_stops_reaching_targets => PathCase {
         network: routed_network,
         make: crashing_read,
+        is_hedged: false,
     },
     payment_that_ends_its_targets_stops_reaching_targets => PathCase {
         network: routed_network,
         make: crashing_payment,
+        is_hedged: false,
     },
     unrouted_request_that_ends_its_targets_stops_reaching_targets => PathCase {
         network: unrouted_network,
         make: crashing_unrouted,
+        is_hedged: false,
+    },
+    hedged_request_that_ends_its_targets_stops_reaching_targets => PathCase {
+        network: hedged_network,
+        make: crashing_unrouted,
+        is_hedged: true,
     },
+    claimed_request_that_ends_its_targets_stops_reaching_targets => PathCase {
+        network: unrouted_network,
+        make: crashing_claim,
+        is_hedged: false,
+    },
+}
+
+#[test]
+fn request_with_tickets_that_ends_its_targets_stops_reaching_targets() {
+    let mut network = unrouted_network();
+    let mut request = with_body(request(SERVICE, "POST", "/shelters/2f"), CRASHING_BODY);
+    for number in 0..100 {
+        let entry = number as usize % TARGETS;
+        request.run_key = RunKey::None;
+        let reply = exchange(&mut network, entry, 1 + 2 * number, request.clone());
+        if let Some(ticket) = reply.tickets.first() {
+            request.run_key = RunKey::Ticket(*ticket);
+            exchange(&mut network, entry, 2 + 2 * number, request.clone());
+        }
+        let next_us = network.now_us + REPEAT_PERIOD_US;
+        network.run_until(next_us);
+    }
+    let ends = ends_us(&network).len();
+    assert!((ENDS..=ENDS_MAX).contains(&ends), "{ends} targets ended");
+    check_late_runs(&network);
 }
 
 #[test]
@@ -277,7 +363,7 @@
         call(&mut network, entry, key, crashing_read(key));
         let cancelled_us = network.now_us + CRASH_AFTER_US / 2;
         network.run_until(cancelled_us);
-        let gone = dragonflylug::kernel::Event::CallerGone(CallKey(key));
+        let gone = Event::CallerGone(CallKey(key));
         network.deliver_event(entry, dragonflylug::calls::entry::NAME, gone);
         let ended_us = network.now_us + CRASH_AFTER_US;
         network.run_until(ended_us);
