--- a/src/organisations.rs
+++ b/src/organisations.rs
@@ -12,6 +12,13 @@
 /// The number of bytes of a key's digest that are kept.
 const DIGEST_BYTES: usize = 16;
 
+/// The importance of a request by the rank of its organisation's importance, from the most important,
+/// and by the importance of its route. The last row and column also stand for all after them.
+///
+/// No request of a less important organisation comes before one of a more important organisation;
+/// among organisations of the same importance the route decides.
+const IMPORTANCES: [[u32; 3]; 3] = [[0, 1, 1], [1, 2, 3], [3, 3, 3]];
+
 /// The digest of a key, from which the key cannot be recovered.
 #[apply(value!)]
 pub struct KeyDigest([u8; DIGEST_BYTES]);
@@ -52,7 +59,7 @@
     pub name: OrganisationName,
     /// The digests of its keys.
     pub keys: Vec<KeyDigest>,
-    /// The rank of importance of its requests, in place of that of the route; 0 is the most
+    /// The importance of its requests, which takes precedence over that of the route; 0 is the most
     /// important.
     pub importance: Option<u32>,
     /// The quota; `None` if the organisation has no limit.
@@ -66,6 +73,8 @@
     organisations: Vec<Organisation>,
     /// The digests of all keys with the index of the organisation that holds them, sorted.
     keys: Vec<(KeyDigest, u32)>,
+    /// The different importances of organisations, sorted.
+    importances: Vec<u32>,
 }
 
 quick_error! {
@@ -121,9 +130,16 @@
                 ));
             }
         }
+        let mut importances = Vec::new();
+        for organisation in &organisations {
+            importances.extend(organisation.importance);
+        }
+        importances.sort_unstable();
+        importances.dedup();
         Ok(Self {
             organisations,
             keys,
+            importances,
         })
     }
 
@@ -145,6 +161,17 @@
         Some(&self.organisations[self.keys[index].1 as usize])
     }
 
+    /// Returns the importance of a request of an organisation on a route: that of the route, unless
+    /// organisations differ in importance.
+    pub fn importance(&self, organisation: &Organisation, route_importance: u32) -> u32 {
+        let (Some(own), true) = (organisation.importance, self.importances.len() > 1) else {
+            return route_importance;
+        };
+        let rank = self.importances.partition_point(|other| *other < own);
+        let row = IMPORTANCES[rank.min(IMPORTANCES.len() - 1)];
+        row[(route_importance as usize).min(row.len() - 1)]
+    }
+
     /// Returns whether the key of a principal is still held by its organisation.
     pub fn accepts(&self, principal: &Principal) -> bool {
         let holder = self.holder(principal.key);
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -68,7 +68,7 @@
         route: RouteName,
         /// The service that handles the request.
         service: ServiceName,
-        /// The terms of the route, with the importance of the organisation if it has one.
+        /// The terms of the route, with the importance of the request in view of its organisation.
         terms: RouteTerms,
         /// Who sent the request; `None` if it carries no accepted key and needs none.
         principal: Option<Principal>,
--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -130,7 +130,7 @@
         if let Some(organisations) = &table.organisations {
             let holder = key.and_then(|key| Some((key, organisations.holder(key)?)));
             if let Some((key, organisation)) = holder {
-                terms.importance = organisation.importance.unwrap_or(terms.importance);
+                terms.importance = organisations.importance(organisation, terms.importance);
                 principal = Some(Principal {
                     organisation: organisation.name.clone(),
                     key,
