Report what the membership read of the member list

Cause: a part that shares something out among all daemons must know whether this daemon has read the member list yet, and which daemons the platform's table names that it has not reached.

Change: Membership::has_read_members and row_addresses; SortedMap::values_mut.

--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -26,6 +26,10 @@
     list_after: Option<MemberId>,
     is_listing: bool,
     is_joined: bool,
+    /// Whether rows of the table were read.
+    has_read_rows: bool,
+    /// The addresses of other daemons in the rows and the snapshot that were read, sorted.
+    row_addresses: Vec<SocketAddr>,
     has_row: bool,
     is_row_write_scheduled: bool,
     rows_read: usize,
@@ -59,6 +63,28 @@
 }
 
 impl Membership {
+    /// Returns whether this daemon has read the member list from a peer, or found in the platform's
+    /// table that there is no other daemon.
+    pub fn has_read_members(&self) -> bool {
+        let is_alone = self.join.has_read_rows && self.join.row_addresses.is_empty();
+        self.join.is_joined || is_alone
+    }
+
+    /// Returns the addresses of other daemons in the rows of the platform's table that this daemon
+    /// read, sorted; those daemons may be gone.
+    pub fn row_addresses(&self) -> &[SocketAddr] {
+        &self.join.row_addresses
+    }
+
+    fn record_row_address(&mut self, address: SocketAddr) {
+        if address == self.own.address {
+            return;
+        }
+        if let Err(index) = self.join.row_addresses.binary_search(&address) {
+            self.join.row_addresses.insert(index, address);
+        }
+    }
+
     pub(super) fn start(&mut self, context: &mut Context<'_>) {
         let period_us = u64::from(self.settings.probe_period_ms) * 1_000;
         let phase_us = context.rng().random_range(0..=period_us);
@@ -135,6 +161,7 @@
     fn add_unknown_contacts(&mut self, context: &mut Context<'_>, rows: &[Row]) {
         for (member, _) in contacts::row_members(rows) {
             let address = member.address;
+            self.record_row_address(address);
             let is_in_roster = self.roster.at_address(address).is_some();
             if is_in_roster || address == self.own.address {
                 continue;
@@ -254,6 +281,7 @@
 
     fn handle_scanned_rows(&mut self, context: &mut Context<'_>, rows: &[Row]) {
         self.join.rows_read += rows.len();
+        self.join.has_read_rows = true;
         let mut members = Vec::new();
         for (member, _) in contacts::row_members(rows) {
             self.join.record_zone(&member.availability_zone);
@@ -268,6 +296,7 @@
     /// Adds possible contacts; a member at this daemon's own address is a predecessor and gone.
     fn add_contacts(&mut self, context: &mut Context<'_>, members: &[Member]) {
         for member in members {
+            self.record_row_address(member.address);
             if member.address == self.own.address && member.id != self.own.id {
                 self.mark_predecessor_gone(context, member.clone());
             }
--- a/src/sorted.rs
+++ b/src/sorted.rs
@@ -112,6 +112,11 @@
         self.entries.iter().map(|(_, value)| value)
     }
 
+    /// Returns an iterator over mutable references to the values in key order.
+    pub fn values_mut(&mut self) -> impl DoubleEndedIterator<Item = &mut V> {
+        self.entries.iter_mut().map(|(_, value)| value)
+    }
+
     /// Returns the number of entries.
     pub fn len(&self) -> usize {
         self.entries.len()
