Keep the quotas of organisations over all daemons

Cause: an organisation's quota was read from the route table and not applied.

Change: a request with the key of an organisation that has a quota takes a token before it is sent. The organisation's owner, by rendezvous hash, keeps the bucket. Refusals: quota_exceeded with the time of the next token, quota_unavailable if no owner answered. Decision log lines name the organisation.

The full suite was not run.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -7,6 +7,7 @@
 mod known_conditions;
 mod origin;
 mod plan;
+mod quota;
 mod response;
 mod retries;
 mod shed;
@@ -22,7 +23,9 @@
 use crate::derives::settings;
 use crate::ids::{CallKey, MemberId, OutboundKey};
 use crate::kernel::{Context, Event, Notice, Service};
+use crate::quota::QuotaDecision;
 use crate::request::{CallRequest, RunKey};
+use crate::retry::Allowance;
 use crate::run_once;
 use crate::sorted::SortedMap;
 use crate::verdict::{DoubtReason, RefusalReason, Verdict};
@@ -31,6 +34,7 @@
 use known_conditions::KnownConditions;
 use origin::{attribute_to_repeat, may_come_from_target};
 use plan::Plan;
+use quota::Token;
 use tickets::TicketStock;
 
 /// The name of the kernel service that accepts calls.
@@ -169,7 +173,12 @@
             self.refuse_before_start(context, key, &request, refusal);
             return;
         }
-        let allowance = match plan.open_allowance(context, &request) {
+        let token = Token::of_request(context, &request);
+        let allowance = match token {
+            Token::Awaited => Ok(Allowance::new(0)),
+            _ => plan.open_allowance(context, &request),
+        };
+        let allowance = match allowance {
             Ok(allowance) => allowance,
             Err(refusal) => {
                 self.refuse_before_start(context, key, &request, refusal);
@@ -193,6 +202,7 @@
             free_placements: 0,
             counts_as_repeat,
             arriving,
+            token,
             was_sent: false,
             doubt: None,
         };
@@ -209,7 +219,10 @@
             return;
         }
         context.set_timer(left_us, TimerKind::Deadline.tag(key));
-        self.begin_attempts(context, key);
+        match token {
+            Token::Awaited => self.take_token(context, key),
+            _ => self.begin_attempts(context, key),
+        }
     }
 
     /// Sends the first attempt, or obtains a ticket first if the request needs one.
@@ -274,6 +287,9 @@
                 self.stopping_since_us.get_or_insert(context.now_us());
             }
             Event::Timer(DEFER_TIMER_TAG) => self.stop_deferring(context),
+            Event::QuotaDecided(QuotaDecision { call, outcome }) => {
+                self.apply_quota_outcome(context, call, outcome);
+            }
             Event::CallerGone(call) => self.handle_caller_gone(context, call),
             Event::PeerResponse { key, result } => self.handle_response(context, key, result),
             Event::Timer(tag) => match TimerKind::from_tag(tag) {
--- a/src/calls/entry/call.rs
+++ b/src/calls/entry/call.rs
@@ -2,6 +2,7 @@
 
 use super::PendingRequest;
 use super::plan::Plan;
+use super::quota::Token;
 use crate::calls;
 use crate::decision::{Decision, DecisionInputs, Step};
 use crate::ids::{MemberId, OutboundKey};
@@ -36,6 +37,8 @@
     pub(super) counts_as_repeat: bool,
     /// What decides whether the call is shed; `None` if it is never shed.
     pub(super) arriving: Option<ArrivingRequest>,
+    /// The token of the organisation's quota.
+    pub(super) token: Token,
     pub(super) was_sent: bool,
     /// The doubt of the latest attempt that may have run. Without a run key it takes precedence
     /// over a later refusal.
@@ -84,6 +87,7 @@
             step,
             outcome,
             is_ordinary,
+            organisation: self.organisation(),
             inputs,
         });
     }
--- a/src/calls/entry/finish.rs
+++ b/src/calls/entry/finish.rs
@@ -37,6 +37,10 @@
                 step: Step::Rejected,
                 outcome: outcome_code(&verdict),
                 is_ordinary: false,
+                organisation: routed
+                    .principal
+                    .as_ref()
+                    .map(|one| one.organisation.clone()),
                 inputs,
             });
         }
@@ -73,6 +77,7 @@
         } else {
             as_non_holder_verdict(&call.run_key, verdict)
         };
+        self.return_token(context, key, &call, &verdict);
         let verdict = with_jittered_retry_after(context, &call, verdict);
         count_verdict(context, &verdict);
         log_reply(context, &call, &verdict);
@@ -163,7 +168,7 @@
 /// Replaces the retry-after time of a refused routed request by a jittered one.
 ///
 /// The refusal's own time, limited to a third of the time left, applies if it is longer. That of a
-/// quarantined request applies unchanged, since it is refused until then.
+/// quarantined request, or of one over the quota, applies unchanged, since it is refused until then.
 fn with_jittered_retry_after(
     context: &mut Context<'_>,
     call: &EntryCall,
@@ -172,7 +177,11 @@
     let (Verdict::NotRun(refusal), Some(routed)) = (&verdict, &call.request.routed) else {
         return verdict;
     };
-    if refusal.reason == RefusalReason::Quarantined {
+    let is_exact = matches!(
+        refusal.reason,
+        RefusalReason::Quarantined | RefusalReason::QuotaExceeded
+    );
+    if is_exact {
         return verdict;
     }
     let left_ms = call.decision_inputs(context).left_ms;
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -121,6 +121,11 @@
             step,
             outcome,
             is_ordinary,
+            organisation: self
+                .peer_call
+                .principal
+                .as_ref()
+                .map(|one| one.organisation.clone()),
             inputs,
         });
     }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -3,7 +3,7 @@
 use macro_rules_attribute::apply;
 
 use crate::derives::value;
-use crate::ids::{MemberId, ServiceName, TraceId};
+use crate::ids::{MemberId, OrganisationName, ServiceName, TraceId};
 
 /// A step in the processing of a request.
 #[apply(value!)]
@@ -56,6 +56,8 @@
     /// decision log limits lines of such decisions to a lower rate than those of retries, refusals
     /// and failures, so that they are dropped first.
     pub is_ordinary: bool,
+    /// The organisation that sent the request, if its key named one.
+    pub organisation: Option<OrganisationName>,
     /// The inputs of the decision.
     pub inputs: DecisionInputs,
 }
--- a/src/host/decisions.rs
+++ b/src/host/decisions.rs
@@ -4,6 +4,7 @@
 
 use super::lock;
 use crate::decision::Decision;
+use crate::ids::OrganisationName;
 
 /// The maximum number of lines per second for decisions that let a request proceed, and for
 /// requests that succeeded.
@@ -69,11 +70,13 @@
 
 fn write_line(decision: &Decision) {
     let inputs = &decision.inputs;
+    let organisation = decision.organisation.as_ref();
     let member = inputs.member.map_or(0, |member| member.0);
     log::info!(
         target: "dragonflylug",
         trace_id = decision.trace_id.as_str(),
         service = decision.service.as_str(),
+        organisation = organisation.map_or("", OrganisationName::as_str),
         outcome = decision.outcome,
         member:% = format_args!("{member:016x}"),
         left_ms = inputs.left_ms,
--- a/src/kernel/input.rs
+++ b/src/kernel/input.rs
@@ -7,6 +7,7 @@
 use crate::ids::{CallKey, InboundKey, OutboundKey};
 use crate::operator::OperatorRequest;
 use crate::peer::{PeerRequest, PeerResponse};
+use crate::quota::QuotaDecision;
 use crate::request::{Answer, CallRequest};
 use crate::routes::RouteUpdate;
 use crate::run_once::ClaimDecision;
@@ -114,6 +115,8 @@
     CallerGone(CallKey),
     /// The table decided on a claim that a call waits for.
     ClaimDecided(ClaimDecision),
+    /// A request that waited for a token of its organisation's quota got one, or gets none.
+    QuotaDecided(QuotaDecision),
     /// An operator sent a request.
     OperatorRequest {
         /// The key to reply with.
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod peer;
 pub mod pressure;
 pub mod quarantine;
+pub mod quota;
 pub mod request;
 pub mod retry;
 pub mod routes;
--- a/src/node.rs
+++ b/src/node.rs
@@ -9,6 +9,7 @@
 use crate::membership::{Member, Membership};
 use crate::pressure::Pressures;
 use crate::quarantine::Quarantine;
+use crate::quota::Quotas;
 use crate::retry::{CallerBudgets, ServiceBudgets};
 use crate::routes::Routes;
 use crate::routing::Router;
@@ -45,6 +46,7 @@
     let id = own.id;
     let zone = own.availability_zone.clone();
     let budgets = ServiceBudgets::new(settings.retry_services.clone());
+    let quotas = Quotas::new(settings.quota.clone(), id, own.address);
     let mut kernel = Kernel::new(seed);
     kernel.register(Box::new(Entry::new(settings.entry.clone(), id)));
     kernel.register(Box::new(Guard::new(settings.guard.clone())));
@@ -52,6 +54,7 @@
     kernel.register(Box::new(Router::new(settings.routing.clone(), zone, id)));
     kernel.register(Box::new(Quarantine::new(settings.quarantine.clone(), id)));
     kernel.register(Box::new(budgets));
+    kernel.register(Box::new(quotas));
     kernel.register(Box::new(Pressures::default()));
     kernel.register(Box::new(Routes::new(settings.routes.clone(), id)));
     kernel.register(Box::new(Membership::new(settings.membership.clone(), own)));
--- a/src/peer.rs
+++ b/src/peer.rs
@@ -5,7 +5,7 @@
 use crate::derives::message;
 use crate::request::{LoadReport, PeerCall, PeerReply};
 use crate::run_once::{TicketBlock, TicketRequest, VoidOutcome, VoidRequest};
-use crate::{calls, config, membership, quarantine, routes, run_once};
+use crate::{calls, config, membership, quarantine, quota, routes, run_once};
 
 /// A request from one daemon to another.
 #[apply(message!)]
@@ -26,6 +26,8 @@
     Routes(routes::Message),
     /// A message about quarantined requests.
     Quarantine(quarantine::Message),
+    /// A message about quotas.
+    Quota(quota::Message),
 }
 
 impl PeerRequest {
@@ -38,6 +40,7 @@
             Self::Config(_) => config::NAME,
             Self::Routes(_) => routes::NAME,
             Self::Quarantine(_) => quarantine::NAME,
+            Self::Quota(_) => quota::NAME,
         }
     }
 }
@@ -61,4 +64,6 @@
     Routes(routes::Message),
     /// A message about quarantined requests.
     Quarantine(quarantine::Message),
+    /// A message about quotas.
+    Quota(quota::Message),
 }
--- /dev/null
+++ b/src/quota/view.rs
@@ -0,0 +1,240 @@
+//! Which daemons there are, and who among them owns and lends an organisation's rate.
+
+use std::cmp::Reverse;
+use std::net::{IpAddr, SocketAddr};
+
+use super::settings::to_us;
+use super::{OrganisationKey, QuotaSettings};
+use crate::ids::MemberId;
+use crate::sorted::SortedMap;
+
+/// A daemon that starts waits anew if it learns of more than one in this many addresses.
+const GROWTH_DIVISOR: usize = 16;
+
+/// What is known of the daemon at an address.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum State {
+    /// It may own organisations.
+    Live,
+    /// It is leaving in a planned way.
+    Leaving,
+    /// It is gone, or only a row of the platform's table names it; it keeps its share until then.
+    Absent { until_us: u64 },
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Daemon {
+    id: MemberId,
+    state: State,
+}
+
+/// The addresses of all daemons that a daemon knows of.
+#[derive(Clone, Debug)]
+pub struct View {
+    settings: QuotaSettings,
+    own: SocketAddr,
+    started_us: u64,
+    daemons: SortedMap<SocketAddr, Daemon>,
+    /// The addresses in rows that were recorded, sorted; each counts once only, since the row of a
+    /// daemon that left may have been read before.
+    row_addresses: Vec<SocketAddr>,
+    /// The number of known addresses that counts as settled, and since when this daemon may lend.
+    settled_len: usize,
+    ready_us: u64,
+    has_read_members: bool,
+    is_stopping: bool,
+    version: u64,
+}
+
+impl View {
+    /// Creates the view of a daemon that starts and knows only itself.
+    pub fn new(settings: QuotaSettings, now_us: u64, id: MemberId, own: SocketAddr) -> Self {
+        let mut daemons = SortedMap::default();
+        let state = State::Live;
+        daemons.insert(own, Daemon { id, state });
+        Self {
+            started_us: now_us,
+            ready_us: now_us + to_us(settings.settle_ms),
+            settings,
+            own,
+            daemons,
+            row_addresses: Vec::new(),
+            settled_len: 1,
+            has_read_members: false,
+            is_stopping: false,
+            version: 1,
+        }
+    }
+
+    /// Returns the address of this daemon.
+    pub fn own(&self) -> SocketAddr {
+        self.own
+    }
+
+    /// Increases whenever an owner or a lender may have changed.
+    pub fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// Records a member that is not gone.
+    pub fn record_member(
+        &mut self,
+        now_us: u64,
+        address: SocketAddr,
+        id: MemberId,
+        is_leaving: bool,
+    ) {
+        let state = match is_leaving {
+            true => State::Leaving,
+            false => State::Live,
+        };
+        if address == self.own {
+            return;
+        }
+        self.insert(now_us, address, Daemon { id, state });
+    }
+
+    /// Records that a member is gone. It keeps its share for a time: until its loans have ended if
+    /// it left in a planned way, longer if it failed, since it may only be cut off.
+    pub fn record_gone(&mut self, now_us: u64, id: MemberId) {
+        let mut found = None;
+        for (address, daemon) in self.daemons.iter() {
+            if daemon.id == id && *address != self.own {
+                found = Some((*address, *daemon));
+            }
+        }
+        let Some((address, daemon)) = found else {
+            return;
+        };
+        let kept_ms = match daemon.state {
+            State::Live => self.settings.failed_share_ms,
+            State::Leaving => self.settings.loan_ms.saturating_mul(2),
+            State::Absent { .. } => return,
+        };
+        let until_us = now_us + to_us(kept_ms);
+        let state = State::Absent { until_us };
+        self.insert(now_us, address, Daemon { id, state });
+    }
+
+    /// Records an address that a row of the platform's table names.
+    pub fn record_row(&mut self, now_us: u64, address: SocketAddr) {
+        let Err(index) = self.row_addresses.binary_search(&address) else {
+            return;
+        };
+        self.row_addresses.insert(index, address);
+        if self.daemons.contains_key(&address) {
+            return;
+        }
+        let until_us = now_us + to_us(self.settings.failed_share_ms);
+        let daemon = Daemon {
+            id: MemberId(0),
+            state: State::Absent { until_us },
+        };
+        self.insert(now_us, address, daemon);
+    }
+
+    /// Records that the member list was read from the platform's table or from a peer.
+    pub fn record_members_read(&mut self) {
+        self.has_read_members = true;
+    }
+
+    /// Records that this daemon is stopping: it neither owns nor lends any more.
+    pub fn record_stop(&mut self) {
+        self.is_stopping = true;
+        self.version += 1;
+    }
+
+    /// Drops the addresses of daemons that no longer keep a share.
+    pub fn forget(&mut self, now_us: u64) {
+        let before = self.daemons.len();
+        let is_kept = |state: State| match state {
+            State::Absent { until_us } => until_us > now_us,
+            State::Live | State::Leaving => true,
+        };
+        self.daemons.retain(|_, daemon| is_kept(daemon.state));
+        self.version += u64::from(self.daemons.len() < before);
+    }
+
+    /// Returns since when this daemon may lend its shares; `None` if it may not.
+    pub fn ready_us(&self, now_us: u64) -> Option<u64> {
+        let alone_us = self.started_us + to_us(self.settings.alone_ms);
+        let ready_us = match self.daemons.len() {
+            1 => self.ready_us.max(alone_us),
+            _ => self.ready_us,
+        };
+        let is_ready = self.has_read_members && !self.is_stopping && now_us >= ready_us;
+        is_ready.then_some(ready_us)
+    }
+
+    /// Returns the owner of an organisation: the live daemon with the highest rendezvous hash.
+    pub fn owner(&self, organisation: OrganisationKey) -> Option<SocketAddr> {
+        let mut highest = None;
+        for (address, daemon) in self.daemons.iter() {
+            let is_own_stop = self.is_stopping && *address == self.own;
+            if daemon.state != State::Live || is_own_stop {
+                continue;
+            }
+            highest = highest.max(Some((rank(organisation, *address), *address)));
+        }
+        highest.map(|(_, address)| address)
+    }
+
+    /// Returns the number of daemons among which a rate is shared out.
+    pub fn lenders_len(&self) -> usize {
+        let lenders_max = usize::from(self.settings.lenders_max);
+        self.daemons.len().min(lenders_max)
+    }
+
+    /// Returns the daemons among which an organisation's rate is shared out: those with the highest
+    /// rendezvous hashes among all that are known.
+    pub fn lenders(&self, organisation: OrganisationKey) -> Vec<SocketAddr> {
+        let mut ranks = Vec::new();
+        for address in self.daemons.keys() {
+            ranks.push(Reverse((rank(organisation, *address), *address)));
+        }
+        ranks.sort_unstable();
+        ranks.truncate(self.lenders_len());
+        let mut lenders = Vec::new();
+        for Reverse((_, address)) in ranks {
+            lenders.push(address);
+        }
+        lenders
+    }
+
+    /// Returns whether this daemon has a share of an organisation's rate.
+    pub fn is_lender(&self, organisation: OrganisationKey) -> bool {
+        if self.daemons.len() <= self.lenders_len() {
+            return true;
+        }
+        let own_rank = (rank(organisation, self.own), self.own);
+        let is_higher =
+            |address: &&SocketAddr| (rank(organisation, **address), **address) > own_rank;
+        self.daemons.keys().filter(is_higher).count() < self.lenders_len()
+    }
+
+    fn insert(&mut self, now_us: u64, address: SocketAddr, daemon: Daemon) {
+        let old = self.daemons.insert(address, daemon);
+        if old.is_none_or(|old| old.state != daemon.state) {
+            self.version += 1;
+        }
+        let settle_us = to_us(self.settings.settle_ms);
+        let is_starting = now_us < self.ready_us;
+        if is_starting && self.daemons.len() > self.settled_len + self.settled_len / GROWTH_DIVISOR
+        {
+            self.settled_len = self.daemons.len();
+            self.ready_us = now_us + settle_us;
+        }
+    }
+}
+
+/// Returns the rendezvous hash of an organisation and an address.
+fn rank(organisation: OrganisationKey, address: SocketAddr) -> u64 {
+    let mut bytes = [0; 26];
+    match address.ip() {
+        IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
+        IpAddr::V6(ip) => bytes[..16].copy_from_slice(&ip.octets()),
+    }
+    bytes[16..18].copy_from_slice(&address.port().to_le_bytes());
+    bytes[18..].copy_from_slice(&organisation.0.to_le_bytes());
+    xxhash_rust::xxh3::xxh3_64(&bytes)
+}
--- a/src/settings.rs
+++ b/src/settings.rs
@@ -17,6 +17,7 @@
 use crate::json_file::{self, JsonFileError};
 use crate::membership::MembershipSettings;
 use crate::quarantine::QuarantineSettings;
+use crate::quota::QuotaSettings;
 use crate::retry::{CallerBudgetSettings, ServiceBudgetSettings};
 use crate::routes::RoutesSettings;
 use crate::routing::RoutingSettings;
@@ -72,6 +73,8 @@
     pub routing: RoutingSettings,
     /// When requests that end their targets are refused.
     pub quarantine: QuarantineSettings,
+    /// How the requests of organisations with quotas are counted over all daemons.
+    pub quota: QuotaSettings,
     /// The retry budgets of callers, at a daemon that is configured by operators' records.
     pub retry: CallerBudgetSettings,
     /// The budgets for repeated requests by service, used instead of `retry` at a daemon that is
@@ -150,6 +153,7 @@
             admission: AdmissionSettings::default(),
             routing: RoutingSettings::default(),
             quarantine: QuarantineSettings::default(),
+            quota: QuotaSettings::default(),
             retry: CallerBudgetSettings::default(),
             retry_services: ServiceBudgetSettings::default(),
             routes: RoutesSettings::default(),
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -4,6 +4,7 @@
 
 use super::{Bound, Settings, bounds};
 use crate::fields::{self, FieldError, FieldRules};
+use crate::quota::QuotaSettings;
 
 /// The minimum length of the operator token, in characters.
 const TOKEN_CHARS_MIN: usize = 16;
@@ -66,7 +67,7 @@
     Ok(settings)
 }
 
-/// Checks the token, the URL, the availability zone and the loopback address.
+/// Checks the token, the URL, the availability zone, the loopback address and the quota times.
 fn check_other_fields(settings: &Settings) -> Result<(), FieldError> {
     if settings.operator_token.chars().count() < TOKEN_CHARS_MIN {
         let problem = format!("must have at least {TOKEN_CHARS_MIN} characters");
@@ -83,5 +84,19 @@
         let problem = "must be a loopback address, such as \"127.0.0.1:8083\"";
         return Err(FieldError::new("announce_address", problem));
     }
+    check_quota(&settings.quota)
+}
+
+/// Checks that a restarted daemon lends no share that its former process may still have lent, and
+/// that a loan outlives the loss of one renewal.
+fn check_quota(quota: &QuotaSettings) -> Result<(), FieldError> {
+    if quota.settle_ms < quota.loan_ms {
+        let problem = "must be at least quota.loan_ms";
+        return Err(FieldError::new("quota.settle_ms", problem));
+    }
+    if quota.renew_ms > quota.loan_ms / 2 {
+        let problem = "must be at most half of quota.loan_ms";
+        return Err(FieldError::new("quota.renew_ms", problem));
+    }
     Ok(())
 }
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -93,6 +93,8 @@
         Unauthorized => "unauthorized",
         /// The quota of the organisation is exhausted.
         QuotaExceeded => "quota_exceeded",
+        /// No daemon could tell whether the quota of the organisation allows the request.
+        QuotaUnavailable => "quota_unavailable",
         /// The request is malformed.
         BadRequest => "bad_request",
         /// The body exceeds the configured maximum size.
