Separate the decisions on quotas from their kernel service

Cause: the steps between owners, lenders and entries could be tested only with whole nodes.

Change: QuotaState takes each step and returns what to send; the service connects it to the context.

--- a/src/quota.rs
+++ b/src/quota.rs
@@ -12,6 +12,7 @@
 mod owner;
 mod service;
 mod settings;
+mod state;
 mod view;
 mod waiting;
 
@@ -21,6 +22,7 @@
 pub use owner::{BorrowRequest, Loan, Owner};
 pub use service::{QuotaDecision, Quotas};
 pub use settings::QuotaSettings;
+pub use state::{Actions, Outgoing, Pending, QuotaState};
 pub use view::View;
 pub use waiting::{Applicants, Outcome, Take, WaitingRequest};
 
