--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -20,14 +20,14 @@
 #[derive(Clone, Copy, Debug)]
 struct Share {
     expires_us: u64,
-    /// The part of the rate and of the burst.
-    weight: f64,
+    /// The number of daemons among which its lender counts the rate as shared out.
+    lenders: usize,
 }
 
 /// The token bucket of one organisation.
 ///
-/// Each share fills it by its part of the rate until it expires, and extends its capacity by its
-/// part of the burst. Since a share is lent to one owner at a time, all buckets of an organisation
+/// Each share fills it by an equal part of the rate until it expires, and extends its capacity by an
+/// equal part of the burst. Since a share is lent to one owner at a time, all buckets of an organisation
 /// together hold and receive no more than one bucket would.
 #[derive(Clone, Debug)]
 pub struct Bucket {
@@ -69,15 +69,15 @@
         if expires_us <= now_us {
             return;
         }
-        let weight = 1.0 / lenders.max(1) as f64;
-        let is_new = self
-            .shares
-            .insert(lender, Share { expires_us, weight })
-            .is_none();
+        let share = Share {
+            expires_us,
+            lenders,
+        };
+        let is_new = self.shares.insert(lender, share).is_none();
         if is_new {
             let free_s = to_us(free_ms) as f64 / US_PER_S;
             let filled = self.quota.rate_per_s * free_s;
-            self.level += weight * filled.min(self.whole_capacity());
+            self.level += self.weight() * filled.min(self.whole_capacity());
         }
         self.limit_level();
     }
@@ -91,11 +91,7 @@
     /// Returns the part of the rate that is lent to this bucket.
     pub fn held_part(&mut self, now_us: u64) -> f64 {
         self.fill(now_us);
-        let mut part = 0.0;
-        for share in self.shares.values() {
-            part += share.weight;
-        }
-        part
+        self.part()
     }
 
     /// Takes up to a number of tokens, and up to `ahead` more while the bucket stays half full;
@@ -125,9 +121,9 @@
         let mut filled_s = 0.0;
         for share in self.shares.values() {
             let until_us = share.expires_us.min(now_us);
-            filled_s += until_us.saturating_sub(self.filled_us) as f64 / US_PER_S * share.weight;
+            filled_s += until_us.saturating_sub(self.filled_us) as f64 / US_PER_S;
         }
-        self.level += self.quota.rate_per_s * filled_s;
+        self.level += self.quota.rate_per_s * filled_s * self.weight();
         self.filled_us = self.filled_us.max(now_us);
         self.shares.retain(|_, share| share.expires_us > now_us);
         self.limit_level();
@@ -138,8 +134,18 @@
     }
 
     fn capacity(&self) -> f64 {
-        let part: f64 = self.shares.values().map(|share| share.weight).sum();
-        self.whole_capacity() * part
+        self.whole_capacity() * self.part()
+    }
+
+    fn part(&self) -> f64 {
+        self.weight() * self.shares.len() as f64
+    }
+
+    /// Returns the part of the rate and of the burst that one share is. A lender that started in a
+    /// partition may count too few daemons, so the greatest count of all lenders applies.
+    fn weight(&self) -> f64 {
+        let counts = self.shares.values().map(|share| share.lenders);
+        1.0 / counts.max().unwrap_or(1).max(1) as f64
     }
 
     /// Returns the capacity of a bucket that holds all shares.
--- a/src/quota/message.rs
+++ b/src/quota/message.rs
@@ -78,4 +78,9 @@
     },
     /// Responds to [`Message::Release`].
     Released,
+    /// Requests the daemons that are absent and keep their shares, for a daemon that starts.
+    ListAbsent,
+    /// Responds to [`Message::ListAbsent`] with addresses, and for how long each keeps its share, in
+    /// milliseconds.
+    Absent(Vec<(SocketAddr, u32)>),
 }
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -42,6 +42,8 @@
         /// When the message was sent.
         sent_us: u64,
     },
+    /// The absent daemons.
+    ListAbsent,
 }
 
 /// What follows from a step.
@@ -180,7 +182,10 @@
                 self.release(now_us, from, sequence, &organisations);
                 Message::Released
             }
-            Message::Grant(_) | Message::Loans { .. } | Message::Released => Message::Released,
+            Message::ListAbsent => Message::Absent(self.view.absent(now_us)),
+            Message::Grant(_) | Message::Loans { .. } | Message::Released | Message::Absent(_) => {
+                Message::Released
+            }
         };
         (response, actions)
     }
@@ -212,7 +217,13 @@
             (Pending::Borrow { request, sent_us }, Some(Message::Loans { lenders, free_ms })) => {
                 self.record_loans(now_us, sent_us, &request, lenders, &free_ms);
             }
-            (Pending::Borrow { .. }, _) => {}
+            (Pending::ListAbsent, Some(Message::Absent(absent))) => {
+                for (address, left_ms) in absent {
+                    self.view.record_absent(now_us, address, left_ms);
+                }
+                self.view.record_absent_read();
+            }
+            (Pending::Borrow { .. } | Pending::ListAbsent, _) => {}
         }
         actions
     }
@@ -259,6 +270,13 @@
         self.lender.forget(now_us);
         self.owner.drop_idle(now_us);
         let mut actions = self.follow_view(now_us);
+        for to in self.view.next_to_ask(now_us) {
+            actions.outgoing.push(Outgoing {
+                to,
+                message: Message::ListAbsent,
+                pending: Some(Pending::ListAbsent),
+            });
+        }
         self.borrow(now_us, &mut actions);
         actions
     }
--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -11,6 +11,9 @@
 /// A daemon that starts waits anew if it learns of more than one in this many addresses.
 const GROWTH_DIVISOR: usize = 16;
 
+/// The maximum number of daemons that are asked for the absent ones at once.
+const ASKED_MAX: usize = 8;
+
 /// What is known of the daemon at an address.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 enum State {
@@ -26,6 +29,8 @@
 struct Daemon {
     id: MemberId,
     state: State,
+    /// Whether it was asked for the absent daemons.
+    is_asked: bool,
 }
 
 /// The addresses of all daemons that a daemon knows of.
@@ -42,6 +47,7 @@
     settled_len: usize,
     ready_us: u64,
     has_read_members: bool,
+    has_read_absent: bool,
     is_stopping: bool,
     version: u64,
 }
@@ -51,7 +57,12 @@
     pub fn new(settings: QuotaSettings, now_us: u64, id: MemberId, own: SocketAddr) -> Self {
         let mut daemons = SortedMap::default();
         let state = State::Live;
-        daemons.insert(own, Daemon { id, state });
+        let daemon = Daemon {
+            id,
+            state,
+            is_asked: true,
+        };
+        daemons.insert(own, daemon);
         Self {
             started_us: now_us,
             ready_us: now_us + to_us(settings.settle_ms),
@@ -61,6 +72,7 @@
             row_addresses: Vec::new(),
             settled_len: 1,
             has_read_members: false,
+            has_read_absent: false,
             is_stopping: false,
             version: 1,
         }
@@ -91,7 +103,7 @@
         if address == self.own {
             return;
         }
-        self.insert(now_us, address, Daemon { id, state });
+        self.insert(now_us, address, id, state);
     }
 
     /// Records that a member is gone. It keeps its share for a time: until its loans have ended if
@@ -113,7 +125,7 @@
         };
         let until_us = now_us + to_us(kept_ms);
         let state = State::Absent { until_us };
-        self.insert(now_us, address, Daemon { id, state });
+        self.insert(now_us, address, id, state);
     }
 
     /// Records an address that a row of the platform's table names.
@@ -122,15 +134,57 @@
             return;
         };
         self.row_addresses.insert(index, address);
+        self.record_absent(now_us, address, self.settings.failed_share_ms);
+    }
+
+    /// Records a daemon that is absent by the view of another, and keeps its share for a time; one
+    /// that this daemon knows is not changed.
+    pub fn record_absent(&mut self, now_us: u64, address: SocketAddr, left_ms: u32) {
         if self.daemons.contains_key(&address) {
             return;
         }
-        let until_us = now_us + to_us(self.settings.failed_share_ms);
-        let daemon = Daemon {
-            id: MemberId(0),
-            state: State::Absent { until_us },
-        };
-        self.insert(now_us, address, daemon);
+        let until_us = now_us + to_us(left_ms);
+        self.insert(now_us, address, MemberId(0), State::Absent { until_us });
+    }
+
+    /// Records that another daemon told which daemons are absent.
+    pub fn record_absent_read(&mut self) {
+        self.has_read_absent = true;
+    }
+
+    /// Returns the daemons that are absent, and for how long each keeps its share, in milliseconds.
+    pub fn absent(&self, now_us: u64) -> Vec<(SocketAddr, u32)> {
+        let mut absent = Vec::new();
+        for (address, daemon) in self.daemons.iter() {
+            let State::Absent { until_us } = daemon.state else {
+                continue;
+            };
+            let left_ms = until_us.saturating_sub(now_us) / 1_000;
+            absent.push((*address, left_ms as u32));
+        }
+        absent
+    }
+
+    /// Returns some daemons to ask for the absent ones while this daemon starts, each once; all again
+    /// if none has answered.
+    pub fn next_to_ask(&mut self, now_us: u64) -> Vec<SocketAddr> {
+        let mut addresses = Vec::new();
+        if now_us >= self.ready_us && self.has_read_absent {
+            return addresses;
+        }
+        for (address, daemon) in self.daemons.iter_mut() {
+            if daemon.state != State::Live || daemon.is_asked || addresses.len() == ASKED_MAX {
+                continue;
+            }
+            daemon.is_asked = true;
+            addresses.push(*address);
+        }
+        if addresses.is_empty() && !self.has_read_absent {
+            for (address, daemon) in self.daemons.iter_mut() {
+                daemon.is_asked = *address == self.own;
+            }
+        }
+        addresses
     }
 
     /// Records that the member list was read from the platform's table or from a peer.
@@ -162,7 +216,8 @@
             1 => self.ready_us.max(alone_us),
             _ => self.ready_us,
         };
-        let is_ready = self.has_read_members && !self.is_stopping && now_us >= ready_us;
+        let has_read = self.has_read_members && (self.has_read_absent || self.daemons.len() == 1);
+        let is_ready = has_read && !self.is_stopping && now_us >= ready_us;
         is_ready.then_some(ready_us)
     }
 
@@ -212,9 +267,14 @@
         self.daemons.keys().filter(is_higher).count() < self.lenders_len()
     }
 
-    fn insert(&mut self, now_us: u64, address: SocketAddr, daemon: Daemon) {
+    fn insert(&mut self, now_us: u64, address: SocketAddr, id: MemberId, state: State) {
+        let daemon = Daemon {
+            id,
+            state,
+            is_asked: false,
+        };
         let old = self.daemons.insert(address, daemon);
-        if old.is_none_or(|old| old.state != daemon.state) {
+        if old.is_none_or(|old| old.state != state) {
             self.version += 1;
         }
         let settle_us = to_us(self.settings.settle_ms);
