Ask again for absent daemons, and model the platform's table

In the model the daemons of one side of a partition restarted, found each other without the platform's table and shared the whole rate out among themselves, as did the other side.

Change: the model lets daemons that start find others only by the table, or through a daemon that has run since before, as daemons do; the table may be down. A daemon that starts asks again where it got no answer.

Not held: the bound, if all daemons of one side of a partition restart while the table's rows of the other side are gone.

--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -43,7 +43,10 @@
         sent_us: u64,
     },
     /// The absent daemons.
-    ListAbsent,
+    ListAbsent {
+        /// The address that was asked.
+        to: SocketAddr,
+    },
 }
 
 /// What follows from a step.
@@ -217,13 +220,14 @@
             (Pending::Borrow { request, sent_us }, Some(Message::Loans { lenders, free_ms })) => {
                 self.record_loans(now_us, sent_us, &request, lenders, &free_ms);
             }
-            (Pending::ListAbsent, Some(Message::Absent(absent))) => {
+            (Pending::ListAbsent { .. }, Some(Message::Absent(absent))) => {
                 for (address, left_ms) in absent {
                     self.view.record_absent(now_us, address, left_ms);
                 }
                 self.view.record_absent_read();
             }
-            (Pending::Borrow { .. } | Pending::ListAbsent, _) => {}
+            (Pending::ListAbsent { to }, _) => self.view.record_no_answer(to),
+            (Pending::Borrow { .. }, _) => {}
         }
         actions
     }
@@ -274,7 +278,7 @@
             actions.outgoing.push(Outgoing {
                 to,
                 message: Message::ListAbsent,
-                pending: Some(Pending::ListAbsent),
+                pending: Some(Pending::ListAbsent { to }),
             });
         }
         self.borrow(now_us, &mut actions);
--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -152,6 +152,13 @@
         self.has_read_absent = true;
     }
 
+    /// Records that a daemon did not tell which daemons are absent, so that it is asked again.
+    pub fn record_no_answer(&mut self, address: SocketAddr) {
+        if let Some(daemon) = self.daemons.get_mut(&address) {
+            daemon.is_asked = false;
+        }
+    }
+
     /// Returns the daemons that are absent, and for how long each keeps its share, in milliseconds.
     pub fn absent(&self, now_us: u64) -> Vec<(SocketAddr, u32)> {
         let mut absent = Vec::new();
--- a/tests/support/quota_model.rs
+++ b/tests/support/quota_model.rs
@@ -45,6 +45,7 @@
     Kill,
     Cut,
     CutOneWay,
+    StoreDown,
     WrongView,
 }
 
@@ -92,6 +93,8 @@
     daemons: Vec<Daemon>,
     /// Until when the link from one daemon to another is cut.
     cut_until_us: Vec<Vec<u64>>,
+    /// Until when the platform's table, from which new daemons read of others, is down.
+    store_down_until_us: u64,
     quota: Quota,
     spread: Spread,
     /// Whether no message is late and each request runs that has a token.
@@ -119,6 +122,7 @@
             next_key: 0,
             daemons: Vec::new(),
             cut_until_us: vec![vec![0; daemons]; daemons],
+            store_down_until_us: 0,
             quota,
             spread,
             is_steady: false,
@@ -365,15 +369,20 @@
         self.start(daemon);
     }
 
-    /// Updates what a daemon believes of the others. A new daemon learns of the daemons that one
-    /// other takes for live; later each change is found or missed at random.
+    /// Updates what a daemon believes of the others; each change is found or missed at random. A new
+    /// daemon finds the others by the platform's table, or is found by one that is not new.
     fn gossip(&mut self, daemon: usize) {
-        let is_new = self.daemons[daemon].believed.iter().all(Option::is_none);
+        let delay_us = self.rng.random_range(200_000..2 * SECOND_US);
+        self.schedule(delay_us, daemon, Event::Gossip);
+        let is_new = self.is_new(daemon);
+        if is_new && !self.join(daemon) {
+            return;
+        }
         for other in 0..self.daemons.len() {
             let is_linked = self.is_connected(daemon, other) && self.is_connected(other, daemon);
             let start = self.daemons[other].start;
             let is_live = is_linked && self.daemons[other].is_up;
-            let is_noticed = is_new || self.rng.random_bool(0.4);
+            let is_noticed = (is_new && !self.is_new(other)) || self.rng.random_bool(0.4);
             if other == daemon || !is_noticed {
                 continue;
             }
@@ -387,8 +396,27 @@
         if self.daemons[daemon].believed.iter().any(Option::is_some) {
             self.daemons[daemon].state.view_mut().record_members_read();
         }
-        let delay_us = self.rng.random_range(200_000..2 * SECOND_US);
-        self.schedule(delay_us, daemon, Event::Gossip);
+    }
+
+    fn is_new(&self, daemon: usize) -> bool {
+        self.daemons[daemon].believed.iter().all(Option::is_none)
+    }
+
+    /// Reads the rows of a new daemon's table; returns whether it may find others.
+    fn join(&mut self, daemon: usize) -> bool {
+        let count = self.daemons.len();
+        if self.store_down_until_us <= self.now_us {
+            let at = &mut self.daemons[daemon];
+            for other in (0..count).filter(|other| *other != daemon) {
+                let now_us = self.now_us + at.clock_us;
+                at.state.view_mut().record_row(now_us, address(other));
+            }
+            return true;
+        }
+        (0..count).any(|other| {
+            let is_linked = self.is_connected(daemon, other) && self.is_connected(other, daemon);
+            is_linked && self.daemons[other].is_up && !self.is_new(other)
+        })
     }
 
     fn believe(&mut self, daemon: usize, other: usize, start: Option<u64>) {
@@ -413,7 +441,7 @@
     }
 
     fn begin_fault(&mut self) {
-        const FAULTS: [Fault; 9] = [
+        const FAULTS: [Fault; 10] = [
             Fault::Pause,
             Fault::Pause,
             Fault::Restart,
@@ -423,6 +451,7 @@
             Fault::Cut,
             Fault::CutOneWay,
             Fault::WrongView,
+            Fault::StoreDown,
         ];
         let count = self.daemons.len();
         let daemon = self.rng.random_range(0..count);
@@ -450,6 +479,7 @@
                     }
                 }
             }
+            Fault::StoreDown => self.store_down_until_us = self.now_us + 3 * last_us,
             Fault::WrongView => {
                 for other in 0..count {
                     if other != daemon && self.rng.random_bool(0.5) {
