Reserve retries for direct requests at services that targets call

Cause: each daemon keeps the retries to a service within a share of the requests that it accepted itself. At a deep service the daemons that accept the few direct requests of callers have almost none, because others accept the calls of targets.

Change: guards count first attempts by origin and report both counts of the latest window in LoadReport. A part of the share (direct_reserve_percent) is reserved for direct requests; each daemon spends it in proportion to the direct requests that it sent, by the reported ratio. Direct requests are counted over the window in which they were fewest among those that a report may describe, so the sum over all daemons holds when rates change. Calls of targets keep off the reserve while the service has direct arrivals. A direct request with a key is no longer taken for a call of the target beside the daemon. Where a reserve exists, a direct request may be retried at a target that refused it.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -111,6 +111,7 @@
         rate_wait_us: 0,
         lost_permille: 0,
         service_us: 0,
+        ..LoadReport::default()
     };
     for (members, pool) in [
         (10, 10),
--- a/src/admission/report.rs
+++ b/src/admission/report.rs
@@ -3,6 +3,7 @@
 use super::{Admission, threshold};
 use crate::ids::WorkKind;
 use crate::request::LoadReport;
+use crate::retry::ArrivalCounts;
 
 impl Admission {
     /// Returns the pressure on the target, from 0 to 1.
@@ -35,7 +36,7 @@
     }
 
     /// Returns the load that the guard reports for a call of a kind of work, without `is_leaving`,
-    /// the pressure and the share of lost answers, which the guard fills in.
+    /// the pressure, the share of lost answers and the arrivals, which the guard fills in.
     pub fn load_for(&self, now_us: u64, kind: WorkKind) -> LoadReport {
         let rate_wait_us = self.pacer.wait_us(now_us, self.queue.len());
         LoadReport {
@@ -46,6 +47,7 @@
             is_leaving: false,
             pressure_permille: 0,
             lost_permille: 0,
+            arrivals: ArrivalCounts::default(),
             rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
             service_us: u32::try_from(self.service_times.kind_mean_us(kind)).unwrap_or(u32::MAX),
         }
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -10,6 +10,7 @@
 use crate::peer::PeerRequest;
 use crate::quarantine::{self, Quarantine, RequestContent, Standing};
 use crate::request::{PeerCall, Rank, RunKey};
+use crate::retry::{self, ServiceBudgets};
 use crate::routing::{self, ChosenTarget, Router, TargetQuery};
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
 
@@ -82,6 +83,7 @@
             known_condition,
             http: call.request.http.clone(),
         };
+        call.record_first_attempt(context);
         call.was_sent = true;
         call.excluded_members.push(choice.member);
         let inputs = DecisionInputs {
@@ -182,6 +184,17 @@
         self.allowance.grant(self.allowance.left().div_ceil(2))
     }
 
+    /// Counts a direct request in the budget of its service when its first attempt is sent.
+    fn record_first_attempt(&self, context: &mut Context<'_>) {
+        if self.was_sent || self.arriving.is_none() {
+            return;
+        }
+        let now_us = context.now_us();
+        if let Some(budgets) = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME) {
+            budgets.record_direct_sent(now_us, &self.request.service);
+        }
+    }
+
     /// Returns how the request is judged by the reports of ended targets.
     fn standing(&self, context: &mut Context<'_>) -> Standing {
         let now_us = context.now_us();
--- a/src/calls/entry/origin.rs
+++ b/src/calls/entry/origin.rs
@@ -11,9 +11,16 @@
 ///
 /// A child call has no more time left than the request that the target works on. A request with
 /// more time left than each running request is therefore taken for a new request of a caller; any
-/// other may be a child call.
+/// other may be a child call, except one that carries a key: only callers have keys.
 pub(super) fn may_come_from_target(context: &mut Context<'_>, request: &CallRequest) -> bool {
     let now_us = context.now_us();
+    let principal = request
+        .routed
+        .as_ref()
+        .and_then(|routed| routed.principal.as_ref());
+    if principal.is_some() {
+        return false;
+    }
     let Some(left_ms) = request.deadline_left_ms else {
         return false;
     };
--- a/src/calls/entry/response.rs
+++ b/src/calls/entry/response.rs
@@ -5,12 +5,13 @@
 
 use super::{Entry, PendingRequest, Purpose};
 use crate::calls;
-use crate::ids::{CallKey, MemberId, OutboundKey, RouteName};
+use crate::ids::{CallKey, MemberId, OutboundKey, RouteName, ServiceName};
 use crate::kernel::{Context, LinkError};
 use crate::metrics::{Counter, RetryReason};
 use crate::peer::PeerResponse;
 use crate::pressure::{self, Pressures};
 use crate::request::{LoadReport, PeerReply};
+use crate::retry::{self, ServiceBudgets};
 use crate::routing::{self, AttemptOutcome, ChosenTarget, Router};
 use crate::run_once::{self, ClaimHolder};
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
@@ -79,6 +80,7 @@
             call.allowance
                 .refund(reply.retries_unspent.min(pending.retries_granted));
             record_pressure(context, call.route().as_ref(), reply.load);
+            record_arrivals(context, &call.request.service, pending.member, reply.load);
         }
         if matches!(verdict, Verdict::NotRun(_)) {
             self.forget_child_ticket(context, key);
@@ -201,6 +203,19 @@
     pressures.record_report(now_us, route, reported);
 }
 
+/// Records the arrivals at the target that its guard reports.
+fn record_arrivals(
+    context: &mut Context<'_>,
+    service: &ServiceName,
+    guard: MemberId,
+    load: LoadReport,
+) {
+    let now_us = context.now_us();
+    if let Some(budgets) = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME) {
+        budgets.record_report(now_us, service, guard, load.arrivals);
+    }
+}
+
 fn fetch_config_if_newer(context: &mut Context<'_>, version: u64, member: MemberId) {
     let router = context.find::<Router>(routing::NAME);
     let address: Option<SocketAddr> = router.and_then(|router| router.peer_address(member));
--- a/src/calls/entry/retries.rs
+++ b/src/calls/entry/retries.rs
@@ -65,7 +65,8 @@
     }
 
     /// Sends the request to a target that was not attempted yet, or to the issuer of its ticket. If
-    /// the router refuses and only the link failed, any target is allowed again. If there is still
+    /// the router refuses and only the link failed, or the call may try the same target again, any
+    /// target is allowed. If there is still
     /// none, the call finishes with the verdict of the latest attempt.
     fn send_retry(
         &mut self,
@@ -76,8 +77,8 @@
     ) {
         let mut choice = self.choose(context, key);
         if choice.is_err()
-            && reason.is_answer_lost()
             && let Some(call) = self.calls.get_mut(&key)
+            && (reason.is_answer_lost() || call.may_try_same_target(context, reason))
         {
             call.excluded_members.clear();
             choice = self.choose(context, key);
@@ -136,7 +137,21 @@
         let Some(budgets) = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME) else {
             return true;
         };
-        budgets.spend(now_us, &self.request.service)
+        match self.arriving {
+            Some(_) => budgets.spend_direct(now_us, &self.request.service),
+            None => budgets.spend(now_us, &self.request.service),
+        }
+    }
+
+    /// Returns whether a target that refused the request may be tried again: a direct request at a
+    /// service with reserved retries may need more attempts than the service has targets.
+    fn may_try_same_target(&self, context: &mut Context<'_>, reason: RetryReason) -> bool {
+        if reason != RetryReason::TargetRefused || self.arriving.is_none() {
+            return false;
+        }
+        let now_us = context.now_us();
+        let budgets = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME);
+        budgets.is_some_and(|budgets| budgets.has_reserve(now_us, &self.request.service))
     }
 
     /// Returns the reason to retry a request that may have run.
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -25,7 +25,7 @@
 use crate::membership::{self, Membership};
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::request::{PeerCall, RunKey};
-use crate::retry::Allowance;
+use crate::retry::{self, Allowance, ServiceBudgets};
 use crate::run_once::{self, BeginOutcome, CLAIMS_DUE, ClaimDecision, ClaimHolder, RunOnce};
 use crate::sorted::SortedMap;
 use crate::target::{Announcement, ConditionTracker};
@@ -191,6 +191,7 @@
     fn handle_call(&mut self, context: &mut Context<'_>, inbound: InboundKey, call: PeerCall) {
         fetch_config_if_newer(context, &call);
         self.inherit_condition(context, &call);
+        record_arrival(context, &call);
         let key = CallKey(context.new_key());
         let deadline_us = context.now_us() + u64::from(call.deadline_left_ms) * 1_000;
         let allowance = Allowance::new(call.retries);
@@ -392,6 +393,15 @@
     }
 }
 
+/// Counts the first attempt of a request by its origin. Only direct requests have a shed basis.
+fn record_arrival(context: &mut Context<'_>, call: &PeerCall) {
+    let now_us = context.now_us();
+    let budgets = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME);
+    if let Some(budgets) = budgets.filter(|_| !call.is_repeat) {
+        budgets.record_arrival(now_us, call.shed_basis.is_some());
+    }
+}
+
 /// Fetches the configuration of the entry daemon if the version in its call is newer than this
 /// daemon's.
 fn fetch_config_if_newer(context: &mut Context<'_>, call: &PeerCall) {
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -10,6 +10,7 @@
 use crate::peer::PeerResponse;
 use crate::pressure::{self, Pressures};
 use crate::request::{LoadReport, PeerReply, RunKey};
+use crate::retry::{self, ArrivalCounts, ServiceBudgets};
 use crate::run_once::{self, Completion, RunOnce};
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
 
@@ -206,7 +207,15 @@
             is_leaving: self.is_leaving(),
             pressure_permille: (pressure * 1_000.0) as u16,
             lost_permille: self.lost_share.permille(),
+            arrivals: arrivals(context),
             ..load
         }
     }
 }
+
+/// Returns the latest arrivals at the target, by origin.
+fn arrivals(context: &mut Context<'_>) -> ArrivalCounts {
+    let now_us = context.now_us();
+    let budgets = context.find::<ServiceBudgets>(retry::SERVICE_BUDGETS_NAME);
+    budgets.map_or(ArrivalCounts::default(), |budgets| budgets.arrivals(now_us))
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -7,6 +7,7 @@
 use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, RouteName, ServiceName, TraceId};
 use crate::organisations::Principal;
 use crate::pressure::ShedBasis;
+use crate::retry::ArrivalCounts;
 use crate::routes::RouteTerms;
 use crate::run_once::{ClaimHolder, Ticket};
 use crate::target::TargetCondition;
@@ -228,6 +229,8 @@
     pub rate_wait_us: u32,
     /// The share of the latest requests whose answers the target lost, in thousandths.
     pub lost_permille: u16,
+    /// The requests that arrived at the target in the latest window of the retry budget.
+    pub arrivals: ArrivalCounts,
 }
 
 /// The order in which requests are shed: the lowest rank first.
--- a/src/retry.rs
+++ b/src/retry.rs
@@ -11,10 +11,13 @@
 mod allowance;
 mod caller_budget;
 mod caller_budgets;
+mod origins;
 mod service_budgets;
+mod slices;
 
 pub use allowance::Allowance;
 pub use caller_budgets::{CallerBudgetSettings, CallerBudgets};
+pub use origins::ArrivalCounts;
 pub use service_budgets::{ServiceBudgetSettings, ServiceBudgets};
 
 /// The name of the kernel service that keeps the retry budgets of callers.
--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -3,21 +3,21 @@
 //!
 //! Each daemon bounds its own repeats, so that the sum over all daemons is bounded without any
 //! coordination.
+//!
+//! Where a service gets both direct requests of callers and calls of targets, a part of the share is
+//! reserved for direct requests. It is a share of all arrivals at the service, which guards report;
+//! each daemon may spend as much of it as it sent of the direct requests.
 
 use macro_rules_attribute::apply;
 
 use super::SERVICE_BUDGETS_NAME;
+use super::origins::{ArrivalCounts, OriginReports};
+use super::slices::{REPORT_LAG_SLICES, SLICES_PER_WINDOW, SliceRing};
 use crate::derives::settings;
-use crate::ids::ServiceName;
+use crate::ids::{MemberId, ServiceName};
 use crate::kernel::{Context, Event, Service};
 use crate::sorted::SortedMap;
 
-/// The number of slices into which a window is divided for counting.
-const SLICES_PER_WINDOW: usize = 10;
-
-/// The number of slices that are kept: those of the current window and of the window before.
-const SLICES_KEPT: usize = 2 * SLICES_PER_WINDOW;
-
 /// Settings of the budgets of repeats of services.
 #[apply(settings!)]
 pub struct ServiceBudgetSettings {
@@ -27,6 +27,9 @@
     pub repeats_percent: u32,
     /// The repeats that are allowed in a window in addition to that share.
     pub repeats_floor: u32,
+    /// The percentage of the allowed repeats that is reserved for direct requests of callers, at a
+    /// service that targets call too; 0 reserves nothing.
+    pub direct_reserve_percent: u32,
 }
 
 impl Default for ServiceBudgetSettings {
@@ -35,31 +38,27 @@
             window_ms: 10_000,
             repeats_percent: 7,
             repeats_floor: 1,
+            direct_reserve_percent: 0,
         }
     }
 }
 
-/// Keeps the repeats of this daemon to each service within a budget.
+/// Keeps the repeats of this daemon to each service within a budget, and counts the arrivals at the
+/// target beside it, by which other daemons know their part of the reserve.
 ///
 /// Hedges, and requests for a kept answer to the daemon that holds a claim, are not counted.
 pub struct ServiceBudgets {
     settings: ServiceBudgetSettings,
-    services: SortedMap<ServiceName, SliceRing>,
+    services: SortedMap<ServiceName, Budget>,
+    /// The arrivals at the target beside this daemon.
+    arrivals: SliceRing,
 }
 
-/// The counts of one service in the two latest windows, as a ring buffer of slices.
+/// The counts of one service and what its guards reported.
 #[derive(Default)]
-struct SliceRing {
-    slices: [SliceCounts; SLICES_KEPT],
-    /// The number of the current slice, counted from time 0.
-    current_slice: u64,
-}
-
-/// The counts of one service in one slice of the window.
-#[derive(Clone, Copy, Default)]
-struct SliceCounts {
-    requests: u32,
-    repeats: u32,
+struct Budget {
+    counts: SliceRing,
+    reports: OriginReports,
 }
 
 impl ServiceBudgets {
@@ -68,94 +67,152 @@
         Self {
             settings,
             services: SortedMap::default(),
+            arrivals: SliceRing::default(),
         }
     }
 
     /// Counts a routed request to a service, before a target is chosen for it.
     pub fn record_request(&mut self, now_us: u64, service: &ServiceName) {
-        let slice = self.advanced_ring(now_us, service).slice_mut();
+        let slice = self.advanced_budget(now_us, service).counts.slice_mut();
         slice.requests = slice.requests.saturating_add(1);
     }
 
+    /// Counts a direct request of a caller whose first attempt is sent to a guard of the service.
+    pub fn record_direct_sent(&mut self, now_us: u64, service: &ServiceName) {
+        let slice = self.advanced_budget(now_us, service).counts.slice_mut();
+        slice.directs = slice.directs.saturating_add(1);
+    }
+
     /// Counts a repeat without a check of the budget, for example a child call of a request that is
     /// a repeat.
     pub fn record_repeat(&mut self, now_us: u64, service: &ServiceName) {
-        let slice = self.advanced_ring(now_us, service).slice_mut();
+        let slice = self.advanced_budget(now_us, service).counts.slice_mut();
         slice.repeats = slice.repeats.saturating_add(1);
     }
 
-    /// Spends one repeat of the budget; returns false if none is left.
+    /// Counts the first attempt of a request that arrives at the target beside this daemon.
+    pub fn record_arrival(&mut self, now_us: u64, is_direct: bool) {
+        self.arrivals.advance(self.slice_at(now_us));
+        let slice = self.arrivals.slice_mut();
+        slice.requests = slice.requests.saturating_add(1);
+        slice.directs = slice.directs.saturating_add(u32::from(is_direct));
+    }
+
+    /// Returns the arrivals of the latest window at the target beside this daemon.
+    pub fn arrivals(&mut self, now_us: u64) -> ArrivalCounts {
+        self.arrivals.advance(self.slice_at(now_us));
+        let sum = self.arrivals.sum(0);
+        ArrivalCounts {
+            all: sum.requests,
+            direct: sum.directs,
+        }
+    }
+
+    /// Records the arrivals that a guard of the service reported.
+    pub fn record_report(
+        &mut self,
+        now_us: u64,
+        service: &ServiceName,
+        guard: MemberId,
+        arrivals: ArrivalCounts,
+    ) {
+        let slice = self.slice_at(now_us);
+        let budget = self.advanced_budget(now_us, service);
+        budget.reports.record(slice, guard, arrivals);
+    }
+
+    /// Spends one repeat of the budget; returns false if none is left. The part that is reserved for
+    /// direct requests is not used.
     #[must_use]
     pub fn spend(&mut self, now_us: u64, service: &ServiceName) -> bool {
-        let (percent, floor) = (self.settings.repeats_percent, self.settings.repeats_floor);
-        let ring = self.advanced_ring(now_us, service);
-        if ring.sum(0).repeats >= ring.repeats_allowed(percent, floor) {
+        let settings = self.settings.clone();
+        let slice = self.slice_at(now_us);
+        let budget = self.advanced_budget(now_us, service);
+        if budget.counts.sum(0).repeats >= budget.shared_repeats(slice, &settings) {
             return false;
         }
-        ring.slice_mut().repeats += 1;
+        budget.counts.slice_mut().repeats += 1;
         true
     }
 
-    /// Returns the counts of a service, advanced to the current time.
-    fn advanced_ring(&mut self, now_us: u64, service: &ServiceName) -> &mut SliceRing {
-        let slice_us = u64::from(self.settings.window_ms) * 1_000 / SLICES_PER_WINDOW as u64;
-        let current_slice = now_us / slice_us.max(1);
-        let create = || SliceRing {
-            current_slice,
-            ..SliceRing::default()
-        };
-        let ring = self.services.get_or_insert_with(service.clone(), create);
-        ring.advance(current_slice);
-        ring
+    /// Spends one repeat of a direct request of a caller, of the reserved part first; returns false
+    /// if none is left.
+    #[must_use]
+    pub fn spend_direct(&mut self, now_us: u64, service: &ServiceName) -> bool {
+        let settings = self.settings.clone();
+        let slice = self.slice_at(now_us);
+        let budget = self.advanced_budget(now_us, service);
+        if budget.counts.sum(0).direct_repeats >= budget.reserved_repeats(slice, &settings) {
+            return self.spend(now_us, service);
+        }
+        budget.counts.slice_mut().direct_repeats += 1;
+        true
     }
-}
 
-impl SliceRing {
-    /// Advances to a slice and clears the slices that are reused on the way.
-    fn advance(&mut self, slice: u64) {
-        let advanced = slice
-            .saturating_sub(self.current_slice)
-            .min(SLICES_KEPT as u64);
-        for step in 1..=advanced {
-            let index = (self.current_slice + step) % SLICES_KEPT as u64;
-            self.slices[index as usize] = SliceCounts::default();
-        }
-        if slice > self.current_slice + SLICES_KEPT as u64 {
-            self.slices = [SliceCounts::default(); SLICES_KEPT];
-        }
-        self.current_slice = self.current_slice.max(slice);
+    /// Returns whether direct requests have a reserved part of the repeats to a service.
+    pub fn has_reserve(&mut self, now_us: u64, service: &ServiceName) -> bool {
+        let settings = self.settings.clone();
+        let slice = self.slice_at(now_us);
+        let budget = self.advanced_budget(now_us, service);
+        budget.reserved_repeats(slice, &settings) > 0
     }
 
-    /// Returns the counts of the current slice.
-    fn slice_mut(&mut self) -> &mut SliceCounts {
-        &mut self.slices[(self.current_slice % SLICES_KEPT as u64) as usize]
+    fn slice_at(&self, now_us: u64) -> u64 {
+        let slice_us = u64::from(self.settings.window_ms) * 1_000 / SLICES_PER_WINDOW as u64;
+        now_us / slice_us.max(1)
     }
 
-    /// Returns the counts of one whole window that ended some slices ago.
-    fn sum(&self, slices_ago: usize) -> SliceCounts {
-        let mut sum = SliceCounts::default();
-        for ago in slices_ago..slices_ago + SLICES_PER_WINDOW {
-            let index = (self.current_slice + (SLICES_KEPT - ago) as u64) % SLICES_KEPT as u64;
-            let slice = self.slices[index as usize];
-            sum.requests += slice.requests;
-            sum.repeats += slice.repeats;
+    /// Returns the budget of a service, advanced to the current time.
+    fn advanced_budget(&mut self, now_us: u64, service: &ServiceName) -> &mut Budget {
+        let slice = self.slice_at(now_us);
+        let budget = self
+            .services
+            .get_or_insert_with(service.clone(), Budget::default);
+        budget.counts.advance(slice);
+        budget
+    }
+}
+
+impl Budget {
+    /// Returns the repeats that are allowed in the current window, without the reserved part.
+    ///
+    /// Without a reserve they are a share of the peak of recent windows, otherwise of the current
+    /// window alone, so that the sum with the reserved repeats stays within the share of all requests.
+    fn shared_repeats(&self, slice: u64, settings: &ServiceBudgetSettings) -> u32 {
+        let percent = settings.repeats_percent;
+        let requests = self.counts.peak_requests();
+        if settings.direct_reserve_percent == 0 || !self.reports.is_mixed(slice) {
+            return settings.repeats_floor + requests * percent / 100;
         }
-        sum
+        let shared_percent = 100 - settings.direct_reserve_percent.min(100);
+        let requests = u64::from(self.counts.sum(0).requests);
+        let share = requests * u64::from(percent) * u64::from(shared_percent) / 10_000;
+        settings.repeats_floor + u32::try_from(share).unwrap_or(u32::MAX)
     }
 
-    /// Returns the maximum number of requests in three windows: those that ended now, half a window
-    /// ago and one window ago. Thus the budget does not shrink at once when requests pause.
-    fn peak_requests(&self) -> u32 {
-        let current = self.sum(0).requests;
-        let half_before = self.sum(SLICES_PER_WINDOW / 2).requests;
-        current
-            .max(half_before)
-            .max(self.sum(SLICES_PER_WINDOW).requests)
+    /// Returns the repeats of direct requests that are allowed in the current window out of the
+    /// reserved part.
+    ///
+    /// The direct requests are counted over the window in which they were fewest among those that the
+    /// report may describe. Summed over all daemons they are therefore no more than the guards
+    /// counted, whatever changed since the report.
+    fn reserved_repeats(&self, slice: u64, settings: &ServiceBudgetSettings) -> u32 {
+        let Some(ratio) = self.reports.all_per_direct(slice) else {
+            return 0;
+        };
+        if !self.had_directs_before_window() {
+            return 0;
+        }
+        let percent = settings.repeats_percent * settings.direct_reserve_percent.min(100);
+        let share = f64::from(percent) / 10_000.0;
+        (share * ratio * f64::from(self.counts.min_directs())) as u32
     }
 
-    /// Returns the number of repeats that are allowed in the current window.
-    fn repeats_allowed(&self, percent: u32, floor: u32) -> u32 {
-        floor + self.peak_requests() * percent / 100
+    /// Returns whether this daemon sent direct requests before the current window. Other daemons
+    /// have then kept off the reserved part for all of this window.
+    fn had_directs_before_window(&self) -> bool {
+        let slices_ago = SLICES_PER_WINDOW + REPORT_LAG_SLICES;
+        self.counts.sum(slices_ago).directs > 0
     }
 }
 
--- a/tests/losing_targets.rs
+++ b/tests/losing_targets.rs
@@ -55,6 +55,7 @@
             rate_wait_us: 0,
             lost_permille: if reports_losses { lost_permille } else { 0 },
             service_us: SERVICE_US as u32,
+            ..LoadReport::default()
         }
     }
 }
--- a/tests/mixed_work.rs
+++ b/tests/mixed_work.rs
@@ -99,6 +99,7 @@
             rate_wait_us: 0,
             lost_permille: 0,
             service_us: self.means_us[work.map_or(2, |work| work as usize)] as u32,
+            ..LoadReport::default()
         }
     }
 }
--- a/tests/routed_calls.rs
+++ b/tests/routed_calls.rs
@@ -189,6 +189,7 @@
         window_ms: 10_000,
         repeats_percent: 10,
         repeats_floor: 1,
+        ..ServiceBudgetSettings::default()
     };
     let mut budgets = ServiceBudgets::new(settings);
     let service = SERVICE.into();
@@ -218,6 +219,7 @@
         window_ms: 10_000,
         repeats_percent: 10,
         repeats_floor: 1,
+        ..ServiceBudgetSettings::default()
     };
     let mut budgets = ServiceBudgets::new(settings);
     let service = SERVICE.into();
--- a/tests/routing.rs
+++ b/tests/routing.rs
@@ -40,6 +40,7 @@
         rate_wait_us: 0,
         lost_permille: 0,
         service_us: 0,
+        ..LoadReport::default()
     }
 }
 
--- a/tests/support/deep_service.rs
+++ b/tests/support/deep_service.rs
@@ -28,6 +28,10 @@
 const DEEP_SLOTS: u32 = 17;
 const DEEP_WORK_US: u64 = 40_000;
 const FRONT_WORK_US: u64 = 160_000;
+/// The daemons without a target that accept the direct requests for the deep service.
+const GATEWAYS: u16 = 6;
+/// The lowest key of the direct requests.
+const DIRECT_KEY_MIN: u64 = 1 << 32;
 
 /// The capacity of the deep service, in requests to the front service per second.
 ///
@@ -61,6 +65,8 @@
     pub deep: DeepTarget,
     /// The rate limits that the first deep targets name, in calls per second.
     pub limits_per_s: Vec<&'static str>,
+    /// The direct requests for the deep service, in addition to the load.
+    pub direct_per_s: u64,
     /// The seed of the times at which requests are offered.
     pub seed: u64,
 }
@@ -73,6 +79,7 @@
             phases: vec![(10, 1.0)],
             deep: Rc::new(|_, _| ok_outcome()),
             limits_per_s: Vec::new(),
+            direct_per_s: 0,
             seed: 11,
         }
     }
@@ -122,6 +129,9 @@
         let mut outcome = Outcome::default();
         for node in &self.network.nodes {
             for (_, key, reply) in &node.replies {
+                if key.0 >= DIRECT_KEY_MIN {
+                    continue;
+                }
                 let index = key.0 as usize - 1;
                 if !span_us.contains(&self.starts_us[index]) {
                     continue;
@@ -141,6 +151,22 @@
         }
         outcome
     }
+
+    /// Returns the outcomes of the direct requests that got a reply after a second of the load.
+    pub fn direct_outcome(&self, from_s: u64) -> OutcomeCounts {
+        let from_us = CONVERGENCE_US + from_s * SECOND_US;
+        let mut counts = OutcomeCounts::default();
+        for node in &self.network.nodes {
+            for (at_us, key, reply) in &node.replies {
+                if key.0 < DIRECT_KEY_MIN || *at_us < from_us {
+                    continue;
+                }
+                counts.replied += 1;
+                counts.answered += u32::from(matches!(reply.verdict, Verdict::Ran(_)));
+            }
+        }
+        counts
+    }
 }
 
 fn is_payment(index: usize) -> bool {
@@ -200,10 +226,34 @@
             (outcome, if is_refused { 0 } else { DEEP_WORK_US })
         });
     }
+    let gateways = if load.direct_per_s > 0 { GATEWAYS } else { 0 };
+    for number in 0..gateways {
+        let spec = NodeSpec {
+            number: 1 + FRONTS + DEEP_TARGETS + number,
+            zone: "zone-1",
+            service: None,
+            slots: 0,
+        };
+        add_node_with_routes(&mut network, &settings, &spec);
+    }
     network.run_until(CONVERGENCE_US);
     network
 }
 
+/// Offers the direct request with a number, and returns when the next one is due.
+fn offer_direct(network: &mut Network, load: &DeepLoad, number: u64) -> u64 {
+    let terms = RouteTerms {
+        attempts_max: 8,
+        ..DEEP_TERMS
+    };
+    let key = DIRECT_KEY_MIN + number;
+    let mut request = routed_request("bookings", terms, key);
+    request.deadline_left_ms = Some(600);
+    let gateway = u64::from(FRONTS + DEEP_TARGETS) + number % u64::from(GATEWAYS);
+    call(network, gateway as usize, key, request);
+    network.now_us + SECOND_US / load.direct_per_s
+}
+
 fn deep_call() -> ChildCall {
     let mut request = routed_request("bookings", DEEP_TERMS, 0);
     request.request = None;
@@ -230,7 +280,18 @@
         from_us = until_us;
     }
     starts_us.sort_unstable();
+    let mut directs = 0;
+    let mut direct_us = if load.direct_per_s > 0 {
+        CONVERGENCE_US
+    } else {
+        u64::MAX
+    };
     for (index, start_us) in starts_us.iter().enumerate() {
+        while direct_us < *start_us {
+            network.run_until(direct_us);
+            direct_us = offer_direct(&mut network, load, directs);
+            directs += 1;
+        }
         network.run_until(*start_us);
         let (terms, name) = match is_payment(index) {
             true => (PAYMENT, "reserve"),
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -11,6 +11,7 @@
 use dragonflylug::request::{
     CallRequest, ClaimKey, HttpRequest, LoadReport, PeerCall, PeerReply, Rank, RunKey,
 };
+use dragonflylug::retry::ArrivalCounts;
 use dragonflylug::run_once::{
     BeginOutcome, CLAIMS_DUE, ClaimHolder, Completion, NAME, RunOnce, RunOnceSettings, Ticket,
 };
@@ -137,6 +138,7 @@
     rate_wait_us: 0,
     lost_permille: 0,
     service_us: 0,
+    arrivals: ArrivalCounts { all: 0, direct: 0 },
 };
 
 /// The timeout of a call that is forwarded to the holder of its claim.
