Begin shedding with the lowest priority in use

Cause: the priorities of organisations replace those of routes, and often only the two highest occur. Then nothing was shed below a pressure of 0.5.

Change: the route table gives the lowest priority of its organisations, with the routes' for organisations that have none. The entry daemon treats requests of it, or of a lower one, as of normal priority in ArrivingRequest, which the guard gets as the basis of its own decision, so that both use the same share. Without organisations, or with a priority of normal or lower in use, nothing changes.

Measured: the bands and the lowest priority in tests/pressure.rs (27 passed); routes, deep_service_overload and routed_calls pass. No run on whole nodes.

--- a/src/calls/entry/shed.rs
+++ b/src/calls/entry/shed.rs
@@ -6,6 +6,7 @@
 use crate::kernel::Context;
 use crate::pressure::{self, ArrivingRequest, Pressures};
 use crate::request::CallRequest;
+use crate::routes::{self, Routes};
 use crate::verdict::{Refusal, RefusalReason};
 
 /// The upper bound of the retry-after time is at most the caller's remaining time divided by this.
@@ -52,13 +53,15 @@
         let routed = request.routed.as_ref()?;
         let now_us = context.now_us();
         let left_ms = request.deadline_left_ms.unwrap_or(plan.policy.deadline_ms);
+        let routes = context.find::<Routes>(routes::NAME);
+        let lowest_in_use = routes.and_then(|routes| routes.lowest_keyed_priority());
         let pressures = context.find::<Pressures>(pressure::NAME)?;
         if request.is_from_target {
             pressures.call_rates().record_call(now_us, &routed.route);
             return None;
         }
         Some(ArrivingRequest {
-            priority: plan.priority,
+            priority: pressure::shed_priority(plan.priority, lowest_in_use),
             is_client_retry: pressures.detect_client_retry(&routed.route, left_ms),
         })
     }
--- a/src/pressure.rs
+++ b/src/pressure.rs
@@ -15,7 +15,7 @@
 
 pub use call_rates::CallRateEstimator;
 pub use controller::{PressureController, PressureSettings};
-pub use shed::{ArrivingRequest, ShedBasis, missed_share, shed_share};
+pub use shed::{ArrivingRequest, ShedBasis, missed_share, shed_priority, shed_share};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
--- a/src/pressure/shed.rs
+++ b/src/pressure/shed.rs
@@ -27,7 +27,7 @@
 /// The properties of a new request that decide whether it is shed.
 #[apply(value!)]
 pub struct ArrivingRequest {
-    /// The priority.
+    /// The priority that decides at which pressure it is shed, as in [`shed_priority`].
     pub priority: Priority,
     /// Whether the request looks like a client's retry, because of the time that it has left.
     pub is_client_retry: bool,
@@ -50,6 +50,19 @@
     }
 }
 
+/// Returns the priority that decides at which pressure a request is shed, for the lowest priority in
+/// use among requests with a key; `None` if requests carry none.
+///
+/// Requests of the lowest priority in use, or a lower one, are shed as those of normal priority.
+/// Otherwise nothing would be shed before the pressure for high priority, where no request has a
+/// lower one.
+pub fn shed_priority(priority: Priority, lowest_in_use: Option<Priority>) -> Priority {
+    match lowest_in_use {
+        Some(lowest) if priority <= lowest => priority.min(Priority::Normal),
+        _ => priority,
+    }
+}
+
 /// What an entry daemon knew when it decided not to shed a request.
 #[apply(value!)]
 pub struct ShedBasis {
--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -10,7 +10,7 @@
 use super::split::TrafficSplits;
 use super::{Message, NAME, Resolution, RouteTable, RouteUpdate};
 use crate::derives::settings;
-use crate::ids::{InboundKey, MemberId, OutboundKey};
+use crate::ids::{InboundKey, MemberId, OutboundKey, Priority};
 use crate::kernel::{Context, Effect, Event, LinkError, Notice, Service, StateChange};
 use crate::membership::{self, Membership};
 use crate::metrics::Counter;
@@ -72,6 +72,8 @@
     settings: RoutesSettings,
     own_id: MemberId,
     table: Option<Arc<RouteTable>>,
+    /// The lowest priority of the requests that carry a key, by the current table.
+    lowest_keyed_priority: Option<Priority>,
     splits: TrafficSplits,
     /// The position in the source's history after which the watch continues.
     position: Option<u64>,
@@ -87,6 +89,7 @@
             settings,
             own_id,
             table: None,
+            lowest_keyed_priority: None,
             splits: TrafficSplits::default(),
             position: None,
             failures: 0,
@@ -110,6 +113,11 @@
         self.table.as_ref()?.organisations.as_ref()
     }
 
+    /// Returns the lowest priority of the requests that carry a key; `None` if requests need no key.
+    pub fn lowest_keyed_priority(&self) -> Option<Priority> {
+        self.lowest_keyed_priority
+    }
+
     /// Finds the route, the service and the terms of a request, and the organisation that sent it;
     /// the host must be in lower case.
     pub fn resolve(
@@ -221,6 +229,7 @@
         let detail = format!("version {} from {from}", table.version);
         context.log(StateChange::new("routes", "route table applied", detail));
         context.count(Counter::unlabelled("route_tables_applied"));
+        self.lowest_keyed_priority = table.lowest_keyed_priority();
         let table = Arc::new(table);
         self.table = Some(Arc::clone(&table));
         context.publish(Notice::RoutesChanged(table));
--- a/src/routes/table.rs
+++ b/src/routes/table.rs
@@ -92,12 +92,7 @@
 impl RouteTerms {
     /// Returns the priority that corresponds to the importance.
     pub fn priority(self) -> Priority {
-        match self.importance {
-            0 => Priority::Critical,
-            1 => Priority::High,
-            2 => Priority::Normal,
-            _ => Priority::Low,
-        }
+        priority_of(self.importance)
     }
 
     /// Returns the call policy of the route's requests.
@@ -154,6 +149,22 @@
         None
     }
 
+    /// Returns the lowest priority of the requests that carry a key; `None` if requests need none, or
+    /// there is no organisation.
+    pub fn lowest_keyed_priority(&self) -> Option<Priority> {
+        let of_routes = self.lowest_keyed_route_priority();
+        let organisations = self.organisations.as_ref()?.iter();
+        let priorities = organisations
+            .filter_map(|organisation| organisation.importance.map(priority_of).or(of_routes));
+        priorities.min()
+    }
+
+    /// Returns the lowest priority of the routes whose requests need a key.
+    fn lowest_keyed_route_priority(&self) -> Option<Priority> {
+        let keyed = self.routes.iter().filter(|route| !route.is_anonymous);
+        keyed.map(|route| route.terms.priority()).min()
+    }
+
     /// Returns the properties of a service, if the table has them.
     pub fn service(&self, name: &ServiceName) -> Option<&ServiceTerms> {
         let index = self
@@ -164,6 +175,16 @@
     }
 }
 
+/// Returns the priority that corresponds to a rank of importance.
+fn priority_of(importance: u32) -> Priority {
+    match importance {
+        0 => Priority::Critical,
+        1 => Priority::High,
+        2 => Priority::Normal,
+        _ => Priority::Low,
+    }
+}
+
 impl Route {
     fn key(&self) -> (&str, &str) {
         (&self.host, &self.prefix)
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -3,14 +3,23 @@
 #[macro_use]
 #[path = "support/cases.rs"]
 mod cases;
+#[path = "support/network.rs"]
+mod network;
+#[path = "support/nodes.rs"]
+mod nodes;
+#[path = "support/routed.rs"]
+mod routed;
 
 use std::ops::RangeInclusive;
 
 use dragonflylug::calls::entry::jittered_retry_after_ms;
 use dragonflylug::ids::{Priority, RouteName, WorkKind};
+use dragonflylug::organisations::{Organisation, Organisations};
 use dragonflylug::pressure::{
-    ArrivingRequest, CallRateEstimator, PressureController, PressureSettings, Pressures, shed_share,
+    ArrivingRequest, CallRateEstimator, PressureController, PressureSettings, Pressures, ShedBasis,
+    missed_share, shed_priority, shed_share,
 };
+use dragonflylug::routes::{Route, RouteTerms};
 use rand::{RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
@@ -111,6 +120,87 @@
     },
 }
 
+/// The lowest priority in use among requests with a key, and a request that is shed at pressures from
+/// `from` on, though not at it.
+struct BandCase {
+    lowest_in_use: Option<Priority>,
+    priority: Priority,
+    from: f64,
+}
+
+fn check_band(case: BandCase) {
+    let request = ArrivingRequest {
+        priority: shed_priority(case.priority, case.lowest_in_use),
+        is_client_retry: false,
+    };
+    assert_eq!(shed_share(case.from, request), 0.0);
+    assert!(shed_share(case.from + 0.01, request) > 0.0);
+    assert!(shed_share(1.0, request) <= 0.95);
+    let basis = ShedBasis {
+        request,
+        pressure_permille: 0,
+    };
+    let at_guard = missed_share(case.from + 0.15, basis);
+    assert_eq!(at_guard, shed_share(case.from + 0.15, request));
+}
+
+cases! { check_band:
+    high_is_shed_first_if_it_is_the_lowest => BandCase {
+        lowest_in_use: Some(Priority::High), priority: Priority::High, from: 0.0,
+    },
+    critical_is_shed_last_if_high_is_the_lowest => BandCase {
+        lowest_in_use: Some(Priority::High), priority: Priority::Critical, from: 0.75,
+    },
+    critical_is_shed_first_if_nothing_else_is_in_use => BandCase {
+        lowest_in_use: Some(Priority::Critical), priority: Priority::Critical, from: 0.0,
+    },
+    high_is_shed_as_before_if_low_is_in_use => BandCase {
+        lowest_in_use: Some(Priority::Low), priority: Priority::High, from: 0.5,
+    },
+    high_is_shed_as_before_without_keys => BandCase {
+        lowest_in_use: None, priority: Priority::High, from: 0.5,
+    },
+    a_request_without_a_key_is_shed_first_if_its_priority_is_lower => BandCase {
+        lowest_in_use: Some(Priority::High), priority: Priority::Low, from: 0.0,
+    },
+}
+
+/// The importances of organisations, the last of whose requests have that of their routes if it is
+/// `None`, and the lowest priority in use.
+fn check_lowest_priority(case: (&[Option<u32>], Option<Priority>)) {
+    let mut organisations = Vec::new();
+    for (index, importance) in case.0.iter().enumerate() {
+        organisations.push(Organisation {
+            name: format!("organisation-{index}").as_str().into(),
+            keys: Vec::new(),
+            importance: *importance,
+            quota: None,
+        });
+    }
+    let anonymous = Route {
+        terms: RouteTerms {
+            importance: 3,
+            ..routed::READ
+        },
+        is_anonymous: true,
+        ..routed::route("calls", "a", "/", &[])
+    };
+    let keyed = routed::route("lookups", "b", "/", &[]);
+    let table = routed::route_table(1, vec![anonymous, keyed]);
+    let table = table.with_organisations(Organisations::new(organisations).unwrap());
+    assert_eq!(table.lowest_keyed_priority(), case.1);
+}
+
+cases! { check_lowest_priority:
+    importances_0_and_1 => (&[Some(0), Some(1)], Some(Priority::High)),
+    importance_0_alone => (&[Some(0)], Some(Priority::Critical)),
+    all_importances => (&[Some(0), Some(1), Some(2), Some(3)], Some(Priority::Low)),
+    an_organisation_without_importance_has_that_of_keyed_routes => (
+        &[Some(0), None], Some(Priority::Normal),
+    ),
+    no_organisation => (&[], None),
+}
+
 /// The requests of three routes at one target; the first two call `callee`, the third does not.
 struct Arrivals {
     per_s: [f64; 3],
