Take the lowest priority in use from organisations and routes together

Cause: an organisation's importance no longer replaces that of the route, so the lowest priority in use was taken too high and urgent reads of a less important organisation would have been shed with its bulk requests.

Change: the lowest priority is that of all pairs of an organisation and a route that needs a key.

--- a/src/routes/table.rs
+++ b/src/routes/table.rs
@@ -152,17 +152,23 @@
     /// Returns the lowest priority of the requests that carry a key; `None` if requests need none, or
     /// there is no organisation.
     pub fn lowest_keyed_priority(&self) -> Option<Priority> {
-        let of_routes = self.lowest_keyed_route_priority();
-        let organisations = self.organisations.as_ref()?.iter();
-        let priorities = organisations
-            .filter_map(|organisation| organisation.importance.map(priority_of).or(of_routes));
-        priorities.min()
-    }
-
-    /// Returns the lowest priority of the routes whose requests need a key.
-    fn lowest_keyed_route_priority(&self) -> Option<Priority> {
-        let keyed = self.routes.iter().filter(|route| !route.is_anonymous);
-        keyed.map(|route| route.terms.priority()).min()
+        let organisations = self.organisations.as_ref()?;
+        let mut importances = Vec::new();
+        for route in &self.routes {
+            if !route.is_anonymous {
+                importances.push(route.terms.importance);
+            }
+        }
+        importances.sort_unstable();
+        importances.dedup();
+        let mut lowest = None;
+        for organisation in organisations.iter() {
+            for route_importance in &importances {
+                let importance = organisations.importance(organisation, *route_importance);
+                lowest = lowest.max(Some(importance));
+            }
+        }
+        lowest.map(priority_of)
     }
 
     /// Returns the properties of a service, if the table has them.
