Reuse connections to targets that are about to be idle, and keep more of them

Cause: a connection returns to the pool in a task of its own after its response was read. A request that the guard starts upon that response found no idle connection and opened another, so a busy pool grew to twice its concurrency, and what went beyond 64 idle connections was closed again.

Change: a request lets other tasks run up to three times while a connection is about to be reusable. The pool keeps up to 512 idle connections, since targets take more than 64 requests at a time.

--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -28,6 +28,10 @@
 /// How long to wait until a connection is ready for reuse after its response was read.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
 
+/// How often a request lets other tasks run first while a connection is about to be reusable. A
+/// request that follows a response at once would otherwise open a connection of its own.
+const RETURN_YIELDS_MAX: u32 = 3;
+
 /// The maximum size of the head of a response, and of the part of a body that is read at once. A head
 /// is parsed anew with each part of it, so that one without end costs time as well.
 const HEAD_BYTES_MAX: usize = 64 * 1024;
@@ -64,7 +68,7 @@
             reuse_pause: Duration::from_secs(5),
             keepalive_period: Duration::from_secs(1),
             response_bytes_max: 32 * 1024 * 1024,
-            idle_count_max: 64,
+            idle_count_max: 512,
         }
     }
 }
@@ -102,6 +106,8 @@
 #[derive(Default)]
 struct PoolState {
     idle: Vec<Idle>,
+    /// The number of connections whose response was read and that are not reusable yet.
+    returning: usize,
     reuse_paused_until: Option<Instant>,
 }
 
@@ -152,7 +158,7 @@
     pub async fn exchange(&self, exchange: Exchange<'_>) -> Result<Response<Bytes>, ExchangeError> {
         let mut request = exchange.request;
         loop {
-            let idle = self.pop_idle(exchange.is_idempotent);
+            let idle = self.take_idle(exchange.is_idempotent).await;
             let is_reused = idle.is_some();
             let mut connection = match idle {
                 Some(connection) => connection,
@@ -206,6 +212,18 @@
         Ok(Response::from_parts(head, body))
     }
 
+    /// Takes an idle connection, or one that becomes idle within a few turns of the other tasks.
+    async fn take_idle(&self, is_idempotent: bool) -> Option<Connection> {
+        for _ in 0..RETURN_YIELDS_MAX {
+            let idle = self.pop_idle(is_idempotent);
+            if idle.is_some() || lock(&self.state).returning == 0 {
+                return idle;
+            }
+            tokio::task::yield_now().await;
+        }
+        self.pop_idle(is_idempotent)
+    }
+
     /// Removes and returns the most recently used connection. Returns `None` if there is
     /// none, if it has been idle for too long or, for a request that is not idempotent, while reuse
     /// is paused.
@@ -231,12 +249,14 @@
     fn put_back(&self, mut connection: Connection) {
         let state = Arc::clone(&self.state);
         let count_max = self.settings.idle_count_max;
+        lock(&state).returning += 1;
         tokio::spawn(async move {
             let ready = tokio::time::timeout(READY_TIMEOUT, connection.sender.ready()).await;
+            let mut state = lock(&state);
+            state.returning -= 1;
             if !matches!(ready, Ok(Ok(()))) {
                 return;
             }
-            let mut state = lock(&state);
             if state.idle.len() >= count_max {
                 return;
             }
