Lend to the first choice of owner sooner after a restart

Cause: after a restart of all daemons no token was granted for the settle time of 5.5 s and more, because each daemon may have lent its share before. All requests of organisations with a quota were refused meanwhile.

Change: a daemon that starts lends after 1 s without further daemons to the owner that comes first among all known addresses, absent ones included: the process before it has lent to that one too, unless it was absent then.

--- a/src/quota/settings.rs
+++ b/src/quota/settings.rs
@@ -25,6 +25,10 @@
     /// How long a daemon that starts lends nothing; at least `loan_ms`, since the process before it
     /// may have lent its share.
     pub settle_ms: u32,
+    /// As `settle_ms`, towards the daemon that comes first as the owner among all known ones, absent
+    /// ones included; counts from the latest appearance of a further daemon. The process before it
+    /// has lent to that owner too, unless it was absent then.
+    pub settle_first_ms: u32,
     /// As `settle_ms`, if the daemon knows of no other.
     pub alone_ms: u32,
     /// How long a daemon that failed keeps its share of the rate, so that both sides of a partition
@@ -47,6 +51,7 @@
             loan_ms: 4_000,
             renew_ms: 1_700,
             settle_ms: 5_500,
+            settle_first_ms: 1_000,
             alone_ms: 10_000,
             failed_share_ms: 3_600_000,
             lenders_max: 64,
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -409,12 +409,12 @@
         sequence: u64,
         organisations: &[OrganisationKey],
     ) -> Vec<Option<u32>> {
-        let ready_us = self.view.ready_us(now_us);
         let mut free_ms = Vec::new();
         for organisation in organisations {
             let is_due =
                 self.view.owner(*organisation) == Some(to) && self.view.is_lender(*organisation);
-            let lent = ready_us.filter(|_| is_due).and_then(|ready_us| {
+            let since_us = self.view.may_lend_since(now_us, *organisation, to);
+            let lent = since_us.filter(|_| is_due).and_then(|ready_us| {
                 self.lender
                     .lend(now_us, ready_us, *organisation, to, sequence)
             });
--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -46,6 +46,8 @@
     /// The number of known addresses that counts as settled, and since when this daemon may lend.
     settled_len: usize,
     ready_us: u64,
+    /// When a further daemon appeared last.
+    grown_us: u64,
     has_read_members: bool,
     has_read_absent: bool,
     is_stopping: bool,
@@ -74,6 +76,7 @@
             daemons,
             row_addresses: Vec::new(),
             settled_len: 1,
+            grown_us: now_us,
             has_read_members: false,
             has_read_absent: false,
             is_stopping: false,
@@ -233,6 +236,31 @@
         is_ready.then_some(ready_us)
     }
 
+    /// Returns since when this daemon may lend its share of an organisation to an owner; `None` if it
+    /// may not.
+    pub fn may_lend_since(
+        &self,
+        now_us: u64,
+        organisation: OrganisationKey,
+        to: SocketAddr,
+    ) -> Option<u64> {
+        let ready_us = self.ready_us(now_us);
+        let has_rows = self.has_read_members && !self.row_addresses.is_empty();
+        let first_us = self.grown_us + to_us(self.settings.settle_first_ms);
+        if ready_us.is_some() || !has_rows || self.is_stopping || now_us < first_us {
+            return ready_us;
+        }
+        (self.first_choice(organisation) == Some(to)).then_some(first_us)
+    }
+
+    /// Returns the daemon with the highest rendezvous hash among all known ones.
+    fn first_choice(&self, organisation: OrganisationKey) -> Option<SocketAddr> {
+        let addresses = self.daemons.keys();
+        addresses
+            .copied()
+            .max_by_key(|address| (rank(organisation, *address), *address))
+    }
+
     /// Returns the owner of an organisation: the live daemon with the highest rendezvous hash.
     pub fn owner(&mut self, organisation: OrganisationKey) -> Option<SocketAddr> {
         if self.owners_version != self.version {
@@ -302,6 +330,9 @@
         if old.is_none_or(|old| old.state != state) {
             self.version += 1;
         }
+        if old.is_none() {
+            self.grown_us = now_us;
+        }
         let settle_us = to_us(self.settings.settle_ms);
         let is_starting = now_us < self.ready_us;
         if is_starting && self.daemons.len() > self.settled_len + self.settled_len / GROWTH_DIVISOR
