Shed organisations by fair shares while capacity is short

Cause: the pressure shed a share of all requests of a priority, so that an organisation that surged took capacity from all others.

Change: the guard estimates the rate that each organisation offers, finds the water level of weighted max-min shares for the share that the pressure admits, and reports the organisation's factor in LoadReport. Entry daemons multiply the admitted share by it; ShedBasis carries the factor, and the guard sheds what the entry daemon did not know. Weights are quotas, or usual rates. Requests without a key are treated as before, and nothing is shed where the pressure sheds nothing. The guard's queue and the retries are not shared by organisation yet.

--- a/src/admission/report.rs
+++ b/src/admission/report.rs
@@ -1,6 +1,7 @@
 //! What admission reports to entry daemons: the load and the pressure.
 
 use super::{Admission, threshold};
+use crate::fairness::NEUTRAL_PERMILLE;
 use crate::ids::WorkKind;
 use crate::request::LoadReport;
 use crate::retry::ArrivalCounts;
@@ -48,6 +49,7 @@
             pressure_permille: 0,
             lost_permille: 0,
             arrivals: ArrivalCounts::default(),
+            fair_permille: NEUTRAL_PERMILLE,
             rate_wait_us: u32::try_from(rate_wait_us).unwrap_or(u32::MAX),
             service_us: u32::try_from(self.service_times.kind_mean_us(kind)).unwrap_or(u32::MAX),
         }
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -3,7 +3,7 @@
 use super::{Entry, PendingRequest, Purpose, TimerKind};
 use crate::calls;
 use crate::decision::{DecisionInputs, Step};
-use crate::ids::{CallKey, OutboundKey, RouteName, TraceId, WorkKind};
+use crate::ids::{CallKey, OrganisationName, OutboundKey, RouteName, TraceId, WorkKind};
 use crate::kernel::Context;
 use crate::metrics::{Counter, RetryReason};
 use crate::organisations::Principal;
@@ -246,6 +246,11 @@
         self.request.routed.as_ref()?.principal.as_ref()
     }
 
+    /// Returns the organisation that sent the request, if it carries a key.
+    pub(super) fn organisation(&self) -> Option<&OrganisationName> {
+        self.principal().map(|principal| &principal.organisation)
+    }
+
     pub(super) fn trace_id(&self) -> Option<TraceId> {
         let routed = self.request.routed.as_ref()?;
         Some(routed.trace_id.clone())
--- a/src/calls/entry/call.rs
+++ b/src/calls/entry/call.rs
@@ -94,11 +94,7 @@
         let route = self.route()?;
         let now_us = context.now_us();
         let pressures = context.find::<Pressures>(pressure::NAME)?;
-        let reported = pressures.reported_pressure(now_us, &route);
-        Some(ShedBasis {
-            request,
-            pressure_permille: (reported * 1_000.0) as u16,
-        })
+        Some(pressures.shed_basis(now_us, &route, request, self.organisation()))
     }
 
     pub(super) fn remove_pending_request(
--- a/src/calls/entry/response.rs
+++ b/src/calls/entry/response.rs
@@ -5,7 +5,7 @@
 
 use super::{Entry, PendingRequest, Purpose};
 use crate::calls;
-use crate::ids::{CallKey, MemberId, OutboundKey, RouteName, ServiceName};
+use crate::ids::{CallKey, MemberId, OrganisationName, OutboundKey, RouteName, ServiceName};
 use crate::kernel::{Context, LinkError};
 use crate::metrics::{Counter, RetryReason};
 use crate::peer::PeerResponse;
@@ -80,6 +80,12 @@
             call.allowance
                 .refund(reply.retries_unspent.min(pending.retries_granted));
             record_pressure(context, call.route().as_ref(), reply.load);
+            record_factor(
+                context,
+                call.route().as_ref(),
+                call.organisation(),
+                reply.load,
+            );
             record_arrivals(context, &call.request.service, pending.member, reply.load);
         }
         if matches!(verdict, Verdict::NotRun(_)) {
@@ -203,6 +209,23 @@
     pressures.record_report(now_us, route, reported);
 }
 
+/// Records the factor of the share of the call's organisation.
+fn record_factor(
+    context: &mut Context<'_>,
+    route: Option<&RouteName>,
+    organisation: Option<&OrganisationName>,
+    load: LoadReport,
+) {
+    let now_us = context.now_us();
+    let (Some(route), Some(organisation)) = (route, organisation) else {
+        return;
+    };
+    if let Some(pressures) = context.find::<Pressures>(pressure::NAME) {
+        let factors = pressures.factors();
+        factors.record(now_us, route, organisation, load.fair_permille);
+    }
+}
+
 /// Records the arrivals at the target that its guard reports.
 fn record_arrivals(
     context: &mut Context<'_>,
--- a/src/calls/entry/shed.rs
+++ b/src/calls/entry/shed.rs
@@ -81,10 +81,12 @@
         let left_ms = request.deadline_left_ms.unwrap_or(plan.policy.deadline_ms);
         let mut rng = context.fork_rng();
         let pressures = context.find::<Pressures>(pressure::NAME)?;
+        let principal = routed.principal.as_ref();
+        let organisation = principal.map(|principal| &principal.organisation);
         if self.is_stop_grace_over(now_us) {
             return Some(self.stopping_refusal());
         }
-        if !pressures.should_shed(now_us, &routed.route, arriving, &mut rng) {
+        if !pressures.should_shed(now_us, &routed.route, arriving, organisation, &mut rng) {
             return None;
         }
         Some(Refusal {
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -5,6 +5,7 @@
 mod condition;
 mod dispatch;
 mod drain;
+mod fair;
 mod finish;
 mod isolation;
 mod losses;
@@ -20,6 +21,7 @@
 use crate::calls;
 use crate::decision::{Decision, DecisionInputs, Step};
 use crate::derives::settings;
+use crate::fairness::FairShares;
 use crate::ids::{CallKey, InboundKey, RequestId};
 use crate::kernel::{Context, Event, Notice, Service, StateChange};
 use crate::membership::{self, Membership};
@@ -80,6 +82,7 @@
     release_timer_us: Option<u64>,
     lost_share: LostShare,
     ends: TargetEnds,
+    fair_shares: FairShares,
     /// The requests that are held back from the target, in the order in which they came.
     held: Vec<CallKey>,
 }
@@ -158,6 +161,7 @@
             release_timer_us: None,
             lost_share: LostShare::default(),
             ends: TargetEnds::default(),
+            fair_shares: FairShares::default(),
             held: Vec::new(),
         }
     }
@@ -192,6 +196,7 @@
         fetch_config_if_newer(context, &call);
         self.inherit_condition(context, &call);
         record_arrival(context, &call);
+        self.record_offered(context, &call);
         let key = CallKey(context.new_key());
         let deadline_us = context.now_us() + u64::from(call.deadline_left_ms) * 1_000;
         let allowance = Allowance::new(call.retries);
@@ -221,7 +226,7 @@
     /// entry daemon would have shed.
     ///
     /// A request with a run key is never refused here: the run-once service may have its answer.
-    fn find_arrival_refusal(&self, context: &mut Context<'_>, key: CallKey) -> Option<Refusal> {
+    fn find_arrival_refusal(&mut self, context: &mut Context<'_>, key: CallKey) -> Option<Refusal> {
         if let Some(refusal) = self.find_withdrawn_key_refusal(context, key) {
             return Some(refusal);
         }
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -1,9 +1,11 @@
 //! Finishes requests at the guard: determines the verdict and replies to everyone who waits for it.
 
+use super::fair::KeyedArrival;
 use super::{Guard, GuardCall, Stage};
 use crate::admission::{self, Admission, CallOutcome};
 use crate::calls;
 use crate::decision::{DecisionInputs, Step};
+use crate::fairness::NEUTRAL_PERMILLE;
 use crate::ids::{CallKey, RouteName, WorkKind};
 use crate::kernel::{Context, TargetOutcome};
 use crate::metrics::{Counter, Latency};
@@ -122,7 +124,9 @@
         if guard_call.is_abandoned {
             return;
         }
-        let load = self.load(context, guard_call.peer_call.route.as_ref());
+        let keyed = KeyedArrival::of_call(&guard_call.peer_call);
+        let route = guard_call.peer_call.route.as_ref();
+        let load = self.load_for_call(context, route, keyed.as_ref());
         let reply = PeerReply {
             verdict,
             retries_unspent: guard_call.allowance.left(),
@@ -204,6 +208,7 @@
             pressure = pressures.effective_pressure(now_us, route, pressure);
         }
         LoadReport {
+            fair_permille: NEUTRAL_PERMILLE,
             is_leaving: self.is_leaving(),
             pressure_permille: (pressure * 1_000.0) as u16,
             lost_permille: self.lost_share.permille(),
--- a/src/calls/guard/shed.rs
+++ b/src/calls/guard/shed.rs
@@ -3,6 +3,7 @@
 use rand::RngExt;
 
 use super::Guard;
+use super::fair::KeyedArrival;
 use crate::ids::CallKey;
 use crate::kernel::Context;
 use crate::pressure;
@@ -12,15 +13,17 @@
     /// Returns the refusal of a new request that its entry daemon would have shed at the pressure that
     /// is known here.
     pub(super) fn find_shed_refusal(
-        &self,
+        &mut self,
         context: &mut Context<'_>,
         key: CallKey,
     ) -> Option<Refusal> {
         let peer_call = &self.calls.get(&key)?.peer_call;
         let basis = peer_call.shed_basis?;
-        let load = self.load(context, peer_call.route.as_ref());
+        let keyed = KeyedArrival::of_call(peer_call);
+        let route = peer_call.route.clone();
+        let load = self.load_for_call(context, route.as_ref(), keyed.as_ref());
         let pressure = f64::from(load.pressure_permille) / 1_000.0;
-        let share = pressure::missed_share(pressure, basis);
+        let share = pressure::missed_share(pressure, basis, load.fair_permille);
         if share == 0.0 || !context.fork_rng().random_bool(share) {
             return None;
         }
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod config;
 pub mod decision;
 pub mod demo;
+pub mod fairness;
 pub mod fields;
 pub mod headers;
 pub mod host;
--- a/src/pressure.rs
+++ b/src/pressure.rs
@@ -15,12 +15,15 @@
 
 pub use call_rates::CallRateEstimator;
 pub use controller::{PressureController, PressureSettings};
-pub use shed::{ArrivingRequest, ShedBasis, missed_share, shed_priority, shed_share};
+pub use shed::{
+    ArrivingRequest, ShedBasis, fair_shed_share, missed_share, shed_priority, shed_share,
+};
 
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
-use crate::ids::RouteName;
+use crate::fairness::{NEUTRAL_PERMILLE, ReportedFactors};
+use crate::ids::{OrganisationName, RouteName};
 use crate::kernel::{Context, Event, Service};
 use crate::sorted::SortedMap;
 
@@ -55,6 +58,7 @@
 #[derive(Default)]
 pub struct Pressures {
     reported: SortedMap<RouteName, ReportedPressure>,
+    factors: ReportedFactors,
     call_rates: CallRateEstimator,
     /// The longest time left until the deadline of any request of a route so far. A request with
     /// less than 80 percent of it counts as a client's retry.
@@ -98,6 +102,31 @@
         &mut self.call_rates
     }
 
+    /// Returns the factors of the organisations' shares that replies reported.
+    pub fn factors(&mut self) -> &mut ReportedFactors {
+        &mut self.factors
+    }
+
+    /// Returns what the decision to shed a request is based on. A request without an organisation
+    /// has the neutral factor.
+    pub fn shed_basis(
+        &self,
+        now_us: u64,
+        route: &RouteName,
+        request: ArrivingRequest,
+        organisation: Option<&OrganisationName>,
+    ) -> ShedBasis {
+        let fair_permille = match organisation {
+            Some(name) => self.factors.factor_permille(now_us, route, name),
+            None => NEUTRAL_PERMILLE,
+        };
+        ShedBasis {
+            request,
+            pressure_permille: (self.reported_pressure(now_us, route) * 1_000.0) as u16,
+            fair_permille,
+        }
+    }
+
     /// Decides at random, by the pressure of its route, whether a new request is shed before any
     /// part of it runs.
     pub fn should_shed(
@@ -105,9 +134,12 @@
         now_us: u64,
         route: &RouteName,
         request: ArrivingRequest,
+        organisation: Option<&OrganisationName>,
         rng: &mut ChaCha8Rng,
     ) -> bool {
-        let share = shed_share(self.reported_pressure(now_us, route), request);
+        let basis = self.shed_basis(now_us, route, request, organisation);
+        let pressure = self.reported_pressure(now_us, route);
+        let share = fair_shed_share(pressure, request, basis.fair_permille);
         share > 0.0 && rng.random_bool(share)
     }
 
--- a/src/pressure/shed.rs
+++ b/src/pressure/shed.rs
@@ -4,6 +4,7 @@
 
 use super::PRESSURE_MAX;
 use crate::derives::value;
+use crate::fairness::NEUTRAL_PERMILLE;
 use crate::ids::Priority;
 
 /// The maximum share of a route's requests that is shed, so that no route is starved.
@@ -63,6 +64,18 @@
     }
 }
 
+/// Returns the share of such requests of an organisation that is shed: that of all such requests, with
+/// the admitted share multiplied by the factor of the organisation, in thousandths. Nothing is shed
+/// of any organisation where nothing is shed of all.
+pub fn fair_shed_share(pressure: f64, request: ArrivingRequest, fair_permille: u16) -> f64 {
+    let share = shed_share(pressure, request);
+    if share == 0.0 || fair_permille == NEUTRAL_PERMILLE {
+        return share;
+    }
+    let factor = f64::from(fair_permille) / f64::from(NEUTRAL_PERMILLE);
+    (1.0 - (1.0 - share) * factor).clamp(0.0, SHARE_MAX)
+}
+
 /// What an entry daemon knew when it decided not to shed a request.
 #[apply(value!)]
 pub struct ShedBasis {
@@ -70,23 +83,39 @@
     pub request: ArrivingRequest,
     /// The pressure on its route that replies had reported, in thousandths.
     pub pressure_permille: u16,
+    /// The factor of the request's organisation, in thousandths; 1,000 if it has none.
+    pub fair_permille: u16,
+}
+
+impl ShedBasis {
+    /// Returns the share of such requests that the entry daemon sheds.
+    pub fn shed_share(&self) -> f64 {
+        let pressure = f64::from(self.pressure_permille) / 1_000.0;
+        fair_shed_share(pressure, self.request, self.fair_permille)
+    }
 }
 
 /// The difference of pressure from which on an entry daemon counts as not informed.
 const OUTDATED_BY: f64 = 0.1;
 
+/// The difference of an organisation's factor from which on an entry daemon counts as not informed.
+const FACTOR_OUTDATED_BY_PERMILLE: u16 = 100;
+
 /// Returns the share of such requests to shed beside the target if the entry daemon is not informed
-/// of the pressure, so that together with what it shed it is the share at the present pressure.
+/// of the pressure or of the organisation's factor, so that together with what it shed it is the share
+/// at the present pressure and factor, which is in thousandths.
 ///
 /// The pressure travels with replies. Where requests wait so long that no reply comes in time, entry
 /// daemons would otherwise not learn of it.
-pub fn missed_share(pressure: f64, basis: ShedBasis) -> f64 {
+pub fn missed_share(pressure: f64, basis: ShedBasis, fair_permille: u16) -> f64 {
     let known_pressure = f64::from(basis.pressure_permille) / 1_000.0;
-    if pressure < known_pressure + OUTDATED_BY {
+    let has_factor =
+        fair_permille.saturating_add(FACTOR_OUTDATED_BY_PERMILLE) >= basis.fair_permille;
+    if pressure < known_pressure + OUTDATED_BY && has_factor {
         return 0.0;
     }
-    let shed_before = shed_share(known_pressure, basis.request);
-    let missed = shed_share(pressure, basis.request) - shed_before;
+    let shed_before = basis.shed_share();
+    let missed = fair_shed_share(pressure, basis.request, fair_permille) - shed_before;
     (missed / (1.0 - shed_before)).max(0.0)
 }
 
--- a/src/request.rs
+++ b/src/request.rs
@@ -231,6 +231,9 @@
     pub lost_permille: u16,
     /// The requests that arrived at the target in the latest window of the retry budget.
     pub arrivals: ArrivalCounts,
+    /// The ratio of the admitted share of the call's organisation to that of all, in thousandths;
+    /// 1,000 for a call without an organisation.
+    pub fair_permille: u16,
 }
 
 /// The order in which requests are shed: the lowest rank first.
--- a/tests/pressure.rs
+++ b/tests/pressure.rs
@@ -13,6 +13,7 @@
 use std::ops::RangeInclusive;
 
 use dragonflylug::calls::entry::jittered_retry_after_ms;
+use dragonflylug::fairness::NEUTRAL_PERMILLE;
 use dragonflylug::ids::{Priority, RouteName, WorkKind};
 use dragonflylug::organisations::{Organisation, Organisations};
 use dragonflylug::pressure::{
@@ -139,8 +140,9 @@
     let basis = ShedBasis {
         request,
         pressure_permille: 0,
+        fair_permille: NEUTRAL_PERMILLE,
     };
-    let at_guard = missed_share(case.from + 0.15, basis);
+    let at_guard = missed_share(case.from + 0.15, basis, NEUTRAL_PERMILLE);
     assert_eq!(at_guard, shed_share(case.from + 0.15, request));
 }
 
--- a/tests/support/deep_service.rs
+++ b/tests/support/deep_service.rs
@@ -8,6 +8,7 @@
 use dragonflylug::admission::AdmissionSettings;
 use dragonflylug::calls::entry::EntrySettings;
 use dragonflylug::kernel::TargetOutcome;
+use dragonflylug::organisations::{KeyDigest, Principal};
 use dragonflylug::pressure::PressureSettings;
 use dragonflylug::retry::ServiceBudgetSettings;
 use dragonflylug::routes::RouteTerms;
@@ -67,6 +68,8 @@
     pub limits_per_s: Vec<&'static str>,
     /// The direct requests for the deep service, in addition to the load.
     pub direct_per_s: u64,
+    /// Returns the organisation of a request of the load by its index, if requests carry keys.
+    pub organisation: Option<fn(usize) -> &'static str>,
     /// The seed of the times at which requests are offered.
     pub seed: u64,
 }
@@ -80,6 +83,7 @@
             deep: Rc::new(|_, _| ok_outcome()),
             limits_per_s: Vec::new(),
             direct_per_s: 0,
+            organisation: None,
             seed: 11,
         }
     }
@@ -125,6 +129,16 @@
 impl DeepRun {
     /// Returns the outcomes of the requests that arrived between two seconds of the load.
     pub fn outcome(&self, from_s: u64, until_s: u64) -> Outcome {
+        self.outcome_of(from_s, until_s, |_| true)
+    }
+
+    /// Returns the outcomes of some of these requests, by their indices.
+    pub fn outcome_of(
+        &self,
+        from_s: u64,
+        until_s: u64,
+        is_included: impl Fn(usize) -> bool,
+    ) -> Outcome {
         let span_us = CONVERGENCE_US + from_s * SECOND_US..CONVERGENCE_US + until_s * SECOND_US;
         let mut outcome = Outcome::default();
         for node in &self.network.nodes {
@@ -133,7 +147,7 @@
                     continue;
                 }
                 let index = key.0 as usize - 1;
-                if !span_us.contains(&self.starts_us[index]) {
+                if !span_us.contains(&self.starts_us[index]) || !is_included(index) {
                     continue;
                 }
                 let counts = if is_payment(index) {
@@ -301,6 +315,10 @@
         let mut request = routed_request("availability", terms, id);
         if let Some(routed) = &mut request.routed {
             routed.route = name.into();
+            routed.principal = load.organisation.map(|organisation| Principal {
+                organisation: organisation(index).into(),
+                key: KeyDigest::of(organisation(index)),
+            });
         }
         request.deadline_left_ms = Some(5_000);
         call(&mut network, index % usize::from(FRONTS), id, request);
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -139,6 +139,7 @@
     lost_permille: 0,
     service_us: 0,
     arrivals: ArrivalCounts { all: 0, direct: 0 },
+    fair_permille: 1_000,
 };
 
 /// The timeout of a call that is forwarded to the holder of its claim.
