Give the reserve of retries a range, and test shares by quotas

Cause: the setting retry_services.direct_reserve_percent had no range, so the settings test failed since it was added; shares by quotas were not tested.

Change: a range of 0 to 100, and four cases of two organisations with quotas.

--- a/src/settings/bounds.rs
+++ b/src/settings/bounds.rs
@@ -66,6 +66,7 @@
     bound("retry_services.window_ms", 100, 600_000),
     bound("retry_services.repeats_percent", 0, 100),
     bound("retry_services.repeats_floor", 0, 10_000),
+    bound("retry_services.direct_reserve_percent", 0, 100),
     bound("routes.watch_ms", 100, 60_000),
     bound("routes.watch_slack_ms", 100, 60_000),
     bound("routes.retry_ms", 1, 60_000),
--- a/tests/fair_shares.rs
+++ b/tests/fair_shares.rs
@@ -270,3 +270,45 @@
     let surging = answered(|name| name == "a");
     assert!(others >= 0.95, "{others}, and {surging} of the surge");
 }
+
+/// The quotas of two organisations that each offer 50 requests a second, the admitted share, and the
+/// shares of each that must be admitted.
+struct QuotaCase {
+    quotas_per_s: [f64; 2],
+    admitted: f64,
+    shares: [f64; 2],
+}
+
+fn check_quotas(case: QuotaCase) {
+    let names: [OrganisationName; 2] = ["a".into(), "b".into()];
+    let mut shares = FairShares::default();
+    let priority = Priority::High;
+    for now_us in (0..20_000 * MS_US).step_by(20 * MS_US as usize) {
+        for (name, quota) in names.iter().zip(case.quotas_per_s) {
+            shares.record_arrival(now_us, name, priority, 1.0, Some(quota));
+        }
+    }
+    for (name, expected) in names.iter().zip(case.shares) {
+        let factor = shares.factor(20_000 * MS_US, name, priority, case.admitted);
+        let share = (factor * case.admitted).min(1.0);
+        assert!(
+            (share - expected).abs() < 0.02,
+            "{share} and not {expected}"
+        );
+    }
+}
+
+cases! { check_quotas:
+    equal_quotas_get_equal_shares => QuotaCase {
+        quotas_per_s: [60.0, 60.0], admitted: 0.5, shares: [0.5, 0.5],
+    },
+    shares_are_in_proportion_to_quotas => QuotaCase {
+        quotas_per_s: [180.0, 60.0], admitted: 0.5, shares: [0.75, 0.25],
+    },
+    what_one_does_not_need_goes_to_the_other => QuotaCase {
+        quotas_per_s: [540.0, 60.0], admitted: 0.75, shares: [1.0, 0.5],
+    },
+    nothing_is_shed_while_there_is_capacity => QuotaCase {
+        quotas_per_s: [540.0, 60.0], admitted: 1.0, shares: [1.0, 1.0],
+    },
+}
