Add a concurrency limit that learns from goodput

The present limit suspects congestion by latency and tries 80 percent of the limit; a target that slows down above a knee far below its slots keeps the limit at the slots, because a step of a fifth shows no gain there.

The limit is now a trait with two implementations, selected by admission.limit_policy; the default is the present one. The learned limit fits the efficiency of the target by concurrency over all kinds of work and takes the level with the highest goodput within deadlines. Requests that may have waited for calls of the target do not count. The guard sets a gauge and logs larger changes.

--- a/src/admission.rs
+++ b/src/admission.rs
@@ -5,6 +5,9 @@
 //! names, sheds the lowest ranks first and
 //! refuses calls that would probably miss their deadline.
 
+mod concurrency;
+mod efficiency;
+mod learned;
 mod limit;
 mod messages;
 mod pacer;
@@ -12,9 +15,11 @@
 mod report;
 mod service_time;
 mod slots;
+mod speed_change;
 mod threshold;
 mod waiting;
 
+pub use concurrency::LimitPolicy;
 pub use messages::{
     AdmissionOutcome, Arrival, CallOutcome, CancelOutcome, DequeuedCalls, EvictedCall, OfferResult,
 };
@@ -28,7 +33,7 @@
 use crate::sorted::SortedMap;
 use crate::target::RateLimitState;
 use crate::verdict::{Refusal, RefusalReason};
-use limit::Limit;
+use concurrency::{ConcurrencyLimit, EndedCall};
 use pacer::Pacer;
 use queue::Queue;
 use service_time::ServiceTimes;
@@ -51,7 +56,10 @@
     /// Only fewer than this percentage of the slots are used, but at least one; 101 uses all. A
     /// value up to 100 is for targets that slow down when nearly all slots are occupied.
     pub slots_below_percent: u32,
-    /// Whether a lower limit is tried when the target appears congested.
+    /// How the concurrency limit is found.
+    pub limit_policy: LimitPolicy,
+    /// Whether a lower limit is tried when the target appears congested; only with the limit policy
+    /// `trial`.
     pub tries_lower_limit: bool,
     /// Settings of the pressure, which is derived from the waits in the queue.
     pub pressure: PressureSettings,
@@ -65,6 +73,7 @@
             limit_min: 2,
             background_share_max_percent: 25,
             slots_below_percent: 101,
+            limit_policy: LimitPolicy::default(),
             tries_lower_limit: true,
             pressure: PressureSettings::default(),
         }
@@ -76,12 +85,16 @@
     started_us: u64,
     priority: Priority,
     kind: WorkKind,
+    deadline_us: u64,
+    /// The number of calls at the target when it started, itself included.
+    concurrency: u32,
+    has_child_calls: bool,
 }
 
 /// The admission control for the target beside the daemon.
 pub struct Admission {
     settings: AdmissionSettings,
-    limit: Limit,
+    limit: Box<dyn ConcurrencyLimit>,
     pacer: Pacer,
     queue: Queue,
     running: SortedMap<CallKey, RunningCall>,
@@ -94,7 +107,7 @@
 impl Admission {
     /// Creates an admission control for a target that has not announced any slots yet.
     pub fn new(settings: AdmissionSettings) -> Self {
-        let limit = Limit::new(settings.limit_min, settings.tries_lower_limit);
+        let limit = concurrency::new_limit(&settings);
         let pressure = PressureController::new(settings.pressure.clone());
         Self {
             settings,
@@ -148,7 +161,7 @@
             && !self.queue.has_call_ahead_of(arrival.rank)
         {
             self.pressure.observe_wait(now_us, arrival.kind, 0);
-            self.start(now_us, arrival.call, arrival.rank.priority, arrival.kind);
+            self.start(now_us, arrival);
             return OfferResult {
                 outcome: AdmissionOutcome::Start,
                 evicted: Vec::new(),
@@ -174,10 +187,37 @@
         let elapsed_us = now_us.saturating_sub(running.started_us);
         self.service_times
             .record(now_us, running.kind, elapsed_us, outcome);
-        self.limit.record(now_us, elapsed_us, outcome, is_saturated);
+        let ended = EndedCall {
+            kind: running.kind,
+            started_us: running.started_us,
+            deadline_us: running.deadline_us,
+            concurrency: running.concurrency,
+            outcome,
+            is_saturated,
+            has_child_calls: running.has_child_calls,
+        };
+        self.limit.record_end(now_us, ended);
         self.dequeue(now_us)
     }
 
+    /// Records that a call at the target may have waited for calls that the target made, so that its
+    /// time does not count as the target's own.
+    pub fn record_child_calls(&mut self, call: CallKey) {
+        if let Some(running) = self.running.get_mut(&call) {
+            running.has_child_calls = true;
+        }
+    }
+
+    /// Returns the concurrency limit, without a trial of another limit for a few calls.
+    pub fn limit(&self) -> u32 {
+        self.limit.settled()
+    }
+
+    /// Returns how the concurrency limit is found.
+    pub fn limit_policy(&self) -> LimitPolicy {
+        self.settings.limit_policy
+    }
+
     /// Removes a call from the queue; a call at the target keeps its slot until it ends.
     pub fn cancel(&mut self, _now_us: u64, call: CallKey) -> CancelOutcome {
         if self.queue.remove(call) {
--- a/src/admission/limit.rs
+++ b/src/admission/limit.rs
@@ -5,6 +5,7 @@
 //! that it rises again, by a tenth plus one after each window that does not suggest congestion.
 
 use super::CallOutcome;
+use super::concurrency::{ConcurrencyLimit, EndedCall, SLOTS_MAX};
 
 /// The number of calls after which a measurement window ends, as a multiple of the limit.
 const WINDOW_LIMIT_MULTIPLE: u32 = 8;
@@ -39,16 +40,13 @@
 /// The maximum pause between trials.
 const TRIAL_PAUSE_MAX_US: u64 = 80_000_000;
 
-/// The maximum number of slots that is accepted from a target; a larger announcement is capped.
-const SLOTS_MAX: u32 = 1_000_000;
-
 /// A concurrency limit of at most the number of slots that may be used.
 ///
 /// The limit equals the number of slots until congestion is suspected: a window is saturated, and
 /// its latency or share of failures is too high, or no latency floor is known because no window was
 /// unsaturated yet. A trial with a lower limit then shows whether the target reaches the same
 /// goodput with fewer calls; a target that is slow for another reason keeps its slots.
-pub(super) struct Limit {
+pub(super) struct TrialLimit {
     limit_min: u32,
     /// Whether a trial begins when congestion is suspected; otherwise the limit stays at `slots`.
     tries_lower: bool,
@@ -105,7 +103,7 @@
     }
 }
 
-impl Limit {
+impl TrialLimit {
     pub(super) fn new(limit_min: u32, tries_lower: bool) -> Self {
         Self {
             limit_min,
@@ -121,49 +119,6 @@
         }
     }
 
-    pub(super) fn set_slots(&mut self, now_us: u64, slots: u32) {
-        let slots = slots.min(SLOTS_MAX);
-        if slots == self.slots {
-            return;
-        }
-        self.slots = slots;
-        self.trial = None;
-        self.set_limit(now_us, slots);
-    }
-
-    pub(super) fn current(&self) -> u32 {
-        self.limit
-    }
-
-    /// Records a call that ended; `is_saturated` is whether the limit was reached at that time.
-    pub(super) fn record(
-        &mut self,
-        now_us: u64,
-        latency_us: u64,
-        outcome: CallOutcome,
-        is_saturated: bool,
-    ) {
-        let window = &mut self.window;
-        if window.calls_to_skip > 0 {
-            window.calls_to_skip -= 1;
-            window.started_us = now_us;
-            return;
-        }
-        match outcome {
-            CallOutcome::Answered => window.answered_count += 1,
-            CallOutcome::Failed => window.failed_count += 1,
-            CallOutcome::Cancelled => return,
-        }
-        window.latency_sum_us += latency_us;
-        window.at_limit_count += u32::from(is_saturated);
-        let is_long = now_us.saturating_sub(window.started_us) > WINDOW_MAX_US;
-        let is_full =
-            window.call_count() >= WINDOW_CALLS_MIN.max(WINDOW_LIMIT_MULTIPLE * self.limit);
-        if is_long || is_full || self.is_trial_conclusive() {
-            self.end_window(now_us);
-        }
-    }
-
     /// Returns whether the goodput of a trial decides it before its window is over.
     fn is_trial_conclusive(&self) -> bool {
         let Some(trial) = &self.trial else {
@@ -270,3 +225,43 @@
         self.limit = limit;
     }
 }
+
+impl ConcurrencyLimit for TrialLimit {
+    fn set_slots(&mut self, now_us: u64, slots: u32) {
+        let slots = slots.min(SLOTS_MAX);
+        if slots == self.slots {
+            return;
+        }
+        self.slots = slots;
+        self.trial = None;
+        self.set_limit(now_us, slots);
+    }
+
+    fn current(&self) -> u32 {
+        self.limit
+    }
+
+    fn record_start(&mut self, _now_us: u64, _concurrency: u32) {}
+
+    fn record_end(&mut self, now_us: u64, call: EndedCall) {
+        let window = &mut self.window;
+        if window.calls_to_skip > 0 {
+            window.calls_to_skip -= 1;
+            window.started_us = now_us;
+            return;
+        }
+        match call.outcome {
+            CallOutcome::Answered => window.answered_count += 1,
+            CallOutcome::Failed => window.failed_count += 1,
+            CallOutcome::Cancelled => return,
+        }
+        window.latency_sum_us += now_us.saturating_sub(call.started_us);
+        window.at_limit_count += u32::from(call.is_saturated);
+        let is_long = now_us.saturating_sub(window.started_us) > WINDOW_MAX_US;
+        let is_full =
+            window.call_count() >= WINDOW_CALLS_MIN.max(WINDOW_LIMIT_MULTIPLE * self.limit);
+        if is_long || is_full || self.is_trial_conclusive() {
+            self.end_window(now_us);
+        }
+    }
+}
--- a/src/admission/slots.rs
+++ b/src/admission/slots.rs
@@ -1,13 +1,13 @@
 //! Which calls may be sent to the target now, by its slots and its rate limit.
 
-use super::{Admission, RunningCall};
-use crate::ids::{CallKey, Priority, WorkKind};
+use super::{Admission, Arrival, RunningCall};
+use crate::ids::Priority;
 
 impl Admission {
     /// Returns the concurrency limit, or the mean number of calls at the target at its rate limit if
     /// that is lower.
     pub(super) fn effective_limit(&self, now_us: u64) -> u32 {
-        let limit = self.limit.current();
+        let limit = self.limit.settled();
         let Some(per_s) = self.pacer.rate_per_s(now_us) else {
             return limit;
         };
@@ -45,16 +45,22 @@
         share.max(1).min(limit.saturating_sub(1))
     }
 
-    pub(super) fn start(&mut self, now_us: u64, call: CallKey, priority: Priority, kind: WorkKind) {
+    pub(super) fn start(&mut self, now_us: u64, arrival: Arrival) {
+        let priority = arrival.rank.priority;
         if priority == Priority::Background {
             self.background_running += 1;
         }
+        let concurrency = self.in_flight().saturating_add(1);
         let running = RunningCall {
             started_us: now_us,
             priority,
-            kind,
+            kind: arrival.kind,
+            deadline_us: arrival.deadline_us,
+            concurrency,
+            has_child_calls: false,
         };
-        self.running.insert(call, running);
+        self.running.insert(arrival.call, running);
+        self.limit.record_start(now_us, concurrency);
         self.pacer.take(now_us);
     }
 }
--- /dev/null
+++ b/src/admission/speed_change.rs
@@ -0,0 +1,54 @@
+//! Detects that a target takes another time than before for the same work at the same concurrency.
+
+use super::efficiency::Sample;
+
+/// The numbers of calls after which the times are compared; the last one starts anew.
+const COMPARED_CALLS: [u32; 4] = [64, 128, 256, 512];
+/// The minimum change of the time per good answer, as a ratio.
+const CHANGE_MIN: f64 = 1.15;
+/// The minimum change as a multiple of its standard error.
+const STANDARD_ERRORS_MIN: f64 = 4.0;
+/// The number of calls on which the times before are based, in the standard error.
+const CALLS_BEFORE: f64 = 512.0;
+
+/// The calls since the last comparison, each by the ratio of its time to the time before.
+#[derive(Default)]
+pub(super) struct SpeedChange {
+    calls: u32,
+    good: f64,
+    ratio_sum: f64,
+    ratio_square_sum: f64,
+}
+
+impl SpeedChange {
+    /// Records a call with the mean time per good answer of such calls before; returns whether the
+    /// speed changed. The count starts anew then.
+    pub(super) fn record(&mut self, sample: Sample, time_before_us: Option<f64>) -> bool {
+        let Some(time_before_us) = time_before_us else {
+            return false;
+        };
+        let ratio = sample.elapsed_us as f64 / time_before_us.max(1.0);
+        self.calls += 1;
+        self.good += f64::from(u8::from(sample.is_good));
+        self.ratio_sum += ratio;
+        self.ratio_square_sum += ratio * ratio;
+        if !COMPARED_CALLS.contains(&self.calls) {
+            return false;
+        }
+        let is_changed = self.is_changed();
+        if is_changed || COMPARED_CALLS.last() == Some(&self.calls) {
+            *self = Self::default();
+        }
+        is_changed
+    }
+
+    fn is_changed(&self) -> bool {
+        let calls = f64::from(self.calls);
+        let mean = self.ratio_sum / calls;
+        let variance = (self.ratio_square_sum / calls - mean * mean).max(0.0);
+        let standard_error = (variance / calls + variance / CALLS_BEFORE).sqrt();
+        let time_per_good = self.ratio_sum / self.good.max(1.0);
+        let is_large = !(1.0 / CHANGE_MIN..=CHANGE_MIN).contains(&time_per_good);
+        is_large && (time_per_good - 1.0).abs() > STANDARD_ERRORS_MIN * standard_error
+    }
+}
--- a/src/admission/waiting.rs
+++ b/src/admission/waiting.rs
@@ -83,7 +83,13 @@
             let wait_us = now_us.saturating_sub(first.queued_us);
             let wait_us = self.pressure_wait_us(now_us, wait_us);
             self.pressure.observe_wait(now_us, first.kind, wait_us);
-            self.start(now_us, first.call, first.rank.priority, first.kind);
+            let arrival = Arrival {
+                call: first.call,
+                rank: first.rank,
+                deadline_us: first.deadline_us,
+                kind: first.kind,
+            };
+            self.start(now_us, arrival);
             dequeued.started.push(first.call);
         }
         dequeued
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -7,6 +7,7 @@
 mod drain;
 mod finish;
 mod isolation;
+mod limit_report;
 mod losses;
 mod parent;
 mod shed;
@@ -31,6 +32,7 @@
 use crate::target::{Announcement, ConditionTracker};
 use crate::verdict::{Refusal, RefusalReason, Verdict};
 use drain::PlannedStop;
+use limit_report::ReportedLimit;
 use losses::LostShare;
 use target_ends::TargetEnds;
 
@@ -79,6 +81,7 @@
     leaving_since_us: Option<u64>,
     release_timer_us: Option<u64>,
     lost_share: LostShare,
+    reported_limit: ReportedLimit,
     ends: TargetEnds,
     /// The requests that are held back from the target, in the order in which they came.
     held: Vec<CallKey>,
@@ -94,6 +97,8 @@
     allowance: Allowance,
     stage: Stage,
     has_failed_child: bool,
+    /// Whether a child call that names the request as its parent began.
+    has_child_calls: bool,
     /// Whether the entry daemon no longer waits for the reply.
     is_abandoned: bool,
     /// When the request was first held back from the target.
@@ -157,6 +162,7 @@
             leaving_since_us: None,
             release_timer_us: None,
             lost_share: LostShare::default(),
+            reported_limit: ReportedLimit::default(),
             ends: TargetEnds::default(),
             held: Vec::new(),
         }
@@ -203,6 +209,7 @@
             allowance,
             stage: Stage::New,
             has_failed_child: false,
+            has_child_calls: false,
             is_abandoned: false,
             held_since_us: None,
             holder: None,
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -134,10 +134,12 @@
     /// Releases the slot of a request at the target and starts queued requests.
     pub(super) fn release(&mut self, context: &mut Context<'_>, key: CallKey, ended: CallOutcome) {
         let now_us = context.now_us();
+        self.record_child_calls(context, key);
         let Some(admission) = context.find::<Admission>(admission::NAME) else {
             return;
         };
         let released = admission.finish(now_us, key, ended);
+        self.report_limit(context);
         self.apply_released(context, released);
     }
 
--- a/src/calls/guard/parent.rs
+++ b/src/calls/guard/parent.rs
@@ -67,7 +67,8 @@
         false
     }
 
-    /// Grants half of a running request's remaining retries, rounded up, to one child call.
+    /// Grants half of a running request's remaining retries, rounded up, to one child call, and
+    /// records that the request makes calls.
     pub fn grant_retries(&mut self, parent_id: RequestId) -> u32 {
         let Some(key) = self.running.get(&parent_id) else {
             return 0;
@@ -75,6 +76,7 @@
         let Some(guard_call) = self.calls.get_mut(key) else {
             return 0;
         };
+        guard_call.has_child_calls = true;
         let wanted = guard_call.allowance.left().div_ceil(2);
         guard_call.allowance.grant(wanted)
     }
--- a/src/metrics.rs
+++ b/src/metrics.rs
@@ -147,6 +147,8 @@
 pub enum Gauge {
     /// The rate limit of the target beside the daemon, in requests per second; infinite without one.
     TargetRateLimit,
+    /// The concurrency limit of the target beside the daemon; set with the limit policy `learned`.
+    TargetConcurrencyLimit,
 }
 
 impl Gauge {
@@ -154,6 +156,7 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::TargetRateLimit => "target_rate_limit_per_s",
+            Self::TargetConcurrencyLimit => "target_concurrency_limit",
         }
     }
 }
--- a/src/pressure/call_rates.rs
+++ b/src/pressure/call_rates.rs
@@ -30,6 +30,10 @@
 /// The share of the mean rate above which a parent counts as a caller of a child.
 const CALLER_RATE_SHARE_MIN: f64 = 0.25;
 
+/// The minimum calls per bin that one running request makes to count as calling at all. A route
+/// that made a call long ago, or makes them for few of its requests, does not count.
+const CALLING_RATE_MIN: f64 = 0.01;
+
 /// The number of coordinate descent rounds in each fit.
 const FIT_ROUNDS: usize = 12;
 
@@ -103,11 +107,7 @@
         parent: &RouteName,
         child: &RouteName,
     ) -> bool {
-        self.advance(now_us);
-        if now_us >= self.fitted_us + FIT_PERIOD_US {
-            self.fitted_us = now_us;
-            self.fit();
-        }
+        self.refresh(now_us);
         let index = self.parents.iter().position(|name| name == parent);
         let (Some(index), Some(child)) = (index, self.children.get(child)) else {
             return false;
@@ -115,6 +115,31 @@
         child.rates[index] > CALLER_RATE_SHARE_MIN * self.mean_rate(child)
     }
 
+    /// Returns whether the requests of a route are estimated to call any other route. A route beyond
+    /// the maximum number of parents is taken to call at the mean rate.
+    pub fn is_estimated_to_call(&mut self, now_us: u64, parent: &RouteName) -> bool {
+        self.refresh(now_us);
+        let index = self.parents.iter().position(|name| name == parent);
+        for (_, child) in self.children.iter() {
+            let rate_min = CALLER_RATE_SHARE_MIN * self.mean_rate(child);
+            let rate_min = rate_min.max(CALLING_RATE_MIN);
+            let rate = index.map_or(self.mean_rate(child), |index| child.rates[index]);
+            if rate > rate_min {
+                return true;
+            }
+        }
+        false
+    }
+
+    /// Advances to the current time and fits the rates if the last fit is too old.
+    fn refresh(&mut self, now_us: u64) {
+        self.advance(now_us);
+        if now_us >= self.fitted_us + FIT_PERIOD_US {
+            self.fitted_us = now_us;
+            self.fit();
+        }
+    }
+
     /// Returns the index of a parent, which is added if it is new; `None` if it is new and the
     /// maximum is reached.
     fn parent_index_or_insert(&mut self, route: &RouteName) -> Option<usize> {
