Bound the trials of the learned limit by the variance of the times

Service times that vary as much as their mean made the trials too short and the calls right after a trial or a change count with a bias to short or long ones, so a speed change was seen again and again.

Trials wait for calls by the measured variance, no times are compared during and shortly after a trial, and the limit moves between levels that were not pooled only for a gain above the standard error.

--- a/src/admission/efficiency.rs
+++ b/src/admission/efficiency.rs
@@ -19,9 +19,7 @@
 /// The number of calls in a cell at which all its sums are halved, so that it follows changes.
 const CELL_CALLS_MAX: f64 = 1_024.0;
 /// The minimum number of calls in a cell whose mean is compared with new calls.
-const COMPARED_CALLS_MIN: f64 = 192.0;
-/// The minimum number of calls at a level whose efficiency is used.
-const LEVEL_CALLS_MIN: f64 = 8.0;
+const COMPARED_CALLS_MIN: f64 = 384.0;
 /// The number of rounds in which the times of the kinds and the efficiencies are fitted.
 const FIT_ROUNDS: usize = 6;
 
@@ -41,6 +39,8 @@
     pub(super) concurrency: u32,
     /// Useful work per slot time; only its ratio to that of other levels has a meaning.
     pub(super) efficiency: f64,
+    /// The number of calls that it is based on; levels that were pooled have all their calls.
+    pub(super) calls: f64,
 }
 
 impl LevelEfficiency {
@@ -142,16 +142,16 @@
         longest_us
     }
 
-    /// Returns the efficiencies of the levels with enough calls, by ascending concurrency; they do
+    /// Returns the efficiencies of the levels with at least `calls_min` calls, by ascending concurrency; they do
     /// not rise.
-    pub(super) fn fit(&self) -> Vec<LevelEfficiency> {
+    pub(super) fn fit(&self, calls_min: f64) -> Vec<LevelEfficiency> {
         let mut kind_times_us = vec![1.0; self.kinds.len()];
         let mut efficiencies = vec![1.0; self.seen_us.len()];
         for _ in 0..FIT_ROUNDS {
             self.fit_kind_times(&efficiencies, &mut kind_times_us);
             self.fit_efficiencies(&kind_times_us, &mut efficiencies);
         }
-        self.pool(&kind_times_us)
+        self.pool(&kind_times_us, calls_min)
     }
 
     fn fit_kind_times(&self, efficiencies: &[f64], kind_times_us: &mut [f64]) {
@@ -184,11 +184,11 @@
     }
 
     /// Pools adjacent levels until the efficiency does not rise with the concurrency.
-    fn pool(&self, kind_times_us: &[f64]) -> Vec<LevelEfficiency> {
+    fn pool(&self, kind_times_us: &[f64], calls_min: f64) -> Vec<LevelEfficiency> {
         let mut pools: Vec<(Work, Vec<u32>)> = Vec::new();
         for level in 0..self.seen_us.len() {
             let work = self.work_at(level, kind_times_us);
-            if work.calls < LEVEL_CALLS_MIN {
+            if work.calls < calls_min {
                 continue;
             }
             let mut last = (work, vec![highest_of(level).min(self.slots)]);
@@ -209,6 +209,7 @@
             levels.extend(pooled.into_iter().map(|concurrency| LevelEfficiency {
                 concurrency,
                 efficiency,
+                calls: work.calls,
             }));
         }
         levels
--- a/src/admission/learned.rs
+++ b/src/admission/learned.rs
@@ -15,13 +15,20 @@
 const DECISION_CALLS: u32 = 32;
 /// The share of those calls that must have ended at the limit, for a trial to begin.
 const SATURATED_PERCENT: u32 = 50;
-/// The number of calls that a trial of a lower limit waits for.
-const LOWER_TRIAL_CALLS: u32 = 32;
-/// The minimum duration of a trial of a lower limit, as a multiple of its mean service time.
-/// Shorter ones would see mostly short calls.
-const LOWER_TRIAL_SERVICE_TIMES: f64 = 1.5;
-/// The number of calls that start above the limit in a trial of a higher one.
-const HIGHER_TRIAL_CALLS: u32 = 16;
+/// The standard error of the mean time in a trial, from which the number of its calls follows.
+const TRIAL_STANDARD_ERROR: f64 = 0.08;
+/// The minimum and maximum number of calls that a trial waits for.
+const TRIAL_CALLS_MIN: f64 = 16.0;
+const TRIAL_CALLS_MAX: f64 = 256.0;
+/// The same for a trial of a lower limit, which wastes slots for as long as it lasts.
+const LOWER_TRIAL_CALLS_MIN: u32 = 32;
+const LOWER_TRIAL_CALLS_MAX: u32 = 96;
+/// The maximum of the number of calls from which a level counts.
+const LEVEL_CALLS_MAX: u32 = 32;
+/// The minimum duration of a trial of a lower limit, as a multiple of its mean service time: this,
+/// and more with the variance of the times. Shorter ones would see mostly short calls.
+const LOWER_TRIAL_SERVICE_TIMES: f64 = 1.3;
+const LOWER_TRIAL_VARIANCE_SERVICE_TIMES: f64 = 2.5;
 /// The maximum duration of a trial: this, or a multiple of the longest mean service time.
 const TRIAL_MAX_US: u64 = 1_000_000;
 const TRIAL_MAX_SERVICE_TIMES: f64 = 6.0;
@@ -41,6 +48,8 @@
 /// mean service time.
 const HIGHER_PAUSE_US: u64 = 2_000_000;
 const HIGHER_PAUSE_SERVICE_TIMES: f64 = 60.0;
+/// The same as a multiple of the duration of the trial that failed.
+const HIGHER_PAUSE_TRIALS: u64 = 20;
 /// How long a level is known after its last call; and as a multiple of the longest mean service
 /// time.
 const KNOWN_US: u64 = 30_000_000;
@@ -54,8 +63,9 @@
 /// The maximum time since the last answer for which failed calls are put down to a stall.
 const STALL_MAX_US: u64 = 1_000_000;
 
-/// The time after a change of the speed in which no ends are counted, as a multiple of the mean time.
-const UNCOUNTED_SERVICE_TIMES: f64 = 2.0;
+/// The time after a change of the speed in which no ends are counted, and after a trial in which no
+/// times are compared, as a multiple of the mean time.
+const UNCOUNTED_SERVICE_TIMES: f64 = 2.5;
 /// The number of calls over which the mean time is taken.
 const MEAN_CALLS: f64 = 32.0;
 
@@ -66,6 +76,7 @@
     started_us: u64,
     /// The calls that may still start above the limit in use, in a trial of a higher one.
     starts_left: u32,
+    calls_needed: u32,
     calls: u32,
     elapsed_sum_us: u64,
 }
@@ -90,8 +101,10 @@
     last_answer_us: u64,
     /// Calls that started earlier are not counted.
     counted_from_us: u64,
-    /// Calls that end earlier are not counted: the first ends after a change are of short calls.
+    /// Calls that end earlier are not counted, because most started before a change of the speed.
     counted_ends_from_us: u64,
+    /// Calls that end earlier are not compared with those before, because many started in a trial.
+    compared_from_us: u64,
     /// The moving average of the time of a call.
     mean_us: f64,
     next_higher_trial_us: u64,
@@ -113,6 +126,7 @@
             last_answer_us: 0,
             counted_from_us: 0,
             counted_ends_from_us: 0,
+            compared_from_us: 0,
             mean_us: 0.0,
             next_higher_trial_us: 0,
             next_trial_us: 0,
@@ -125,6 +139,12 @@
         time_us.max((self.longest_kind_us * service_times) as u64)
     }
 
+    /// Returns the number of calls that a trial needs, by the variance of the times.
+    fn trial_calls(&self) -> u32 {
+        let calls = self.speed_change.variance() / (TRIAL_STANDARD_ERROR * TRIAL_STANDARD_ERROR);
+        calls.clamp(TRIAL_CALLS_MIN, TRIAL_CALLS_MAX) as u32
+    }
+
     /// Returns whether a call was held up by a stall of the target, and notes the end of a stall.
     ///
     /// Answers are further apart in a stall than they are at any steady speed, because the calls
@@ -153,13 +173,13 @@
             is_good: call.outcome == CallOutcome::Answered && now_us <= call.deadline_us,
         };
         let before_us = self.table.record(now_us, sample);
-        if !self.speed_change.record(sample, before_us) {
+        let is_compared = self.trial.is_none() && now_us >= self.compared_from_us;
+        if !is_compared || !self.speed_change.record(sample, before_us) {
             return;
         }
         self.table.clear();
         self.trial = None;
         self.window = Window::default();
-        self.counted_from_us = now_us;
         self.counted_ends_from_us = now_us + (self.mean_us * UNCOUNTED_SERVICE_TIMES) as u64;
         self.next_higher_trial_us = now_us;
         self.higher_step = 0;
@@ -192,10 +212,16 @@
             return true;
         }
         if trial.is_higher {
-            return trial.calls >= HIGHER_TRIAL_CALLS;
+            return trial.calls >= trial.calls_needed;
         }
+        let calls_needed = trial
+            .calls_needed
+            .clamp(LOWER_TRIAL_CALLS_MIN, LOWER_TRIAL_CALLS_MAX);
+        let variance = self.speed_change.variance().min(1.0);
+        let service_times =
+            LOWER_TRIAL_SERVICE_TIMES + LOWER_TRIAL_VARIANCE_SERVICE_TIMES * variance;
         let mean_us = trial.elapsed_sum_us as f64 / f64::from(trial.calls.max(1));
-        trial.calls >= LOWER_TRIAL_CALLS && running_us as f64 >= mean_us * LOWER_TRIAL_SERVICE_TIMES
+        trial.calls >= calls_needed && running_us as f64 >= mean_us * service_times
     }
 
     /// Ends a trial, moves the limit and begins the next trial if the limit is reached.
@@ -206,11 +232,15 @@
         self.table
             .forget_unseen_since(now_us.saturating_sub(known_us));
         self.longest_kind_us = self.table.longest_kind_us();
-        let levels = self.table.fit();
+        let calls_min = (self.trial_calls() / 2).min(LEVEL_CALLS_MAX);
+        let levels = self.table.fit(f64::from(calls_min));
         if levels.is_empty() {
             return;
         }
         self.move_limit(&levels);
+        if trial.is_some() {
+            self.compared_from_us = now_us + (self.mean_us * UNCOUNTED_SERVICE_TIMES) as u64;
+        }
         if let Some(trial) = trial.filter(|trial| trial.is_higher) {
             self.end_higher_trial(now_us, &trial, &levels);
         }
@@ -225,19 +255,31 @@
             limit,
             is_higher: limit > self.limit,
             started_us: now_us,
-            starts_left: HIGHER_TRIAL_CALLS,
+            starts_left: self.trial_calls(),
+            calls_needed: self.trial_calls(),
             calls: 0,
             elapsed_sum_us: 0,
         });
     }
 
-    /// Moves the limit to the level with the highest goodput if that is clearly higher.
+    /// Moves the limit to the level with the highest goodput if that is clearly higher: by more
+    /// than the standard error, unless the levels were pooled.
     fn move_limit(&mut self, levels: &[LevelEfficiency]) {
+        let present = level_at(self.limit, levels);
         let goodput = self.limit_goodput(levels);
-        let mut best_goodput = goodput * MOVED_GAIN;
         let floor = self.limit_min.min(self.slots);
+        let mut best_goodput = goodput;
         for level in levels {
-            if level.goodput() > best_goodput && level.concurrency >= floor {
+            let is_pooled = level.efficiency == present.efficiency;
+            let variance = self.speed_change.variance();
+            let error = (variance / level.calls + variance / present.calls).sqrt();
+            let gain_min = if is_pooled {
+                MOVED_GAIN
+            } else {
+                MOVED_GAIN + error
+            };
+            let is_clear = level.goodput() > goodput * gain_min;
+            if is_clear && level.goodput() > best_goodput && level.concurrency >= floor {
                 best_goodput = level.goodput();
                 self.limit = level.concurrency;
             }
@@ -245,23 +287,24 @@
     }
 
     fn limit_goodput(&self, levels: &[LevelEfficiency]) -> f64 {
-        f64::from(self.limit) * efficiency_at(self.limit, levels)
+        f64::from(self.limit) * level_at(self.limit, levels).efficiency
     }
 
     /// Lets the next trial of a higher limit follow at once with a doubled step if this one showed
     /// no clear loss of efficiency, else after a pause. A gain of one step alone may be less than
     /// the trial can show.
     fn end_higher_trial(&mut self, now_us: u64, trial: &Trial, levels: &[LevelEfficiency]) {
-        let efficiency_min = efficiency_at(self.limit, levels) * HIGHER_EFFICIENCY_MIN;
-        let can_continue = trial.calls >= HIGHER_TRIAL_CALLS && trial.limit < self.slots;
-        if can_continue && efficiency_at(trial.limit, levels) >= efficiency_min {
+        let efficiency_min = level_at(self.limit, levels).efficiency * HIGHER_EFFICIENCY_MIN;
+        let can_continue = trial.calls >= trial.calls_needed && trial.limit < self.slots;
+        if can_continue && level_at(trial.limit, levels).efficiency >= efficiency_min {
             self.higher_step = self.higher_step.saturating_mul(2);
             self.next_higher_trial_us = now_us;
             return;
         }
         let pause_us = self.at_least_us(HIGHER_PAUSE_US, HIGHER_PAUSE_SERVICE_TIMES);
+        let trial_us = now_us.saturating_sub(trial.started_us);
         self.higher_step = 0;
-        self.next_higher_trial_us = now_us + pause_us;
+        self.next_higher_trial_us = now_us + pause_us.max(trial_us * HIGHER_PAUSE_TRIALS);
     }
 
     fn choose_trial(&mut self, now_us: u64, levels: &[LevelEfficiency]) -> Option<u32> {
@@ -297,16 +340,11 @@
     }
 }
 
-/// Returns the efficiency at a concurrency, or that of the next lower known level, so that a
-/// limit that is not reached stays.
-fn efficiency_at(concurrency: u32, levels: &[LevelEfficiency]) -> f64 {
-    let mut efficiency = levels[0].efficiency;
-    for level in levels {
-        if level.concurrency <= concurrency {
-            efficiency = level.efficiency;
-        }
-    }
-    efficiency
+/// Returns the level of a concurrency, or the next lower known one, so that a limit that is not
+/// reached stays; the lowest if there is none. There must be a level.
+fn level_at(concurrency: u32, levels: &[LevelEfficiency]) -> LevelEfficiency {
+    let is_reached = |level: &&LevelEfficiency| level.concurrency <= concurrency;
+    *levels.iter().rfind(is_reached).unwrap_or(&levels[0])
 }
 
 /// Returns the middle of the two adjacent known levels between which the goodput could be highest,
--- a/src/admission/speed_change.rs
+++ b/src/admission/speed_change.rs
@@ -11,16 +11,38 @@
 /// The number of calls on which the times before are based, in the standard error.
 const CALLS_BEFORE: f64 = 512.0;
 
+/// The variance of the ratios until it was measured.
+const VARIANCE_FIRST: f64 = 0.25;
+
 /// The calls since the last comparison, each by the ratio of its time to the time before.
-#[derive(Default)]
 pub(super) struct SpeedChange {
+    /// The variance of the ratios in the last complete comparison without a change.
+    variance: f64,
     calls: u32,
     good: f64,
     ratio_sum: f64,
     ratio_square_sum: f64,
 }
 
+impl Default for SpeedChange {
+    fn default() -> Self {
+        Self {
+            variance: VARIANCE_FIRST,
+            calls: 0,
+            good: 0.0,
+            ratio_sum: 0.0,
+            ratio_square_sum: 0.0,
+        }
+    }
+}
+
 impl SpeedChange {
+    /// Returns the variance of the times of equal work at equal concurrency, over their squared
+    /// mean.
+    pub(super) fn variance(&self) -> f64 {
+        self.variance
+    }
+
     /// Records a call with the mean time per good answer of such calls before; returns whether the
     /// speed changed. The count starts anew then.
     pub(super) fn record(&mut self, sample: Sample, time_before_us: Option<f64>) -> bool {
@@ -36,16 +58,27 @@
             return false;
         }
         let is_changed = self.is_changed();
-        if is_changed || COMPARED_CALLS.last() == Some(&self.calls) {
-            *self = Self::default();
+        let is_complete = COMPARED_CALLS.last() == Some(&self.calls);
+        if is_complete && !is_changed {
+            self.variance = self.ratio_variance();
+        }
+        if is_complete || is_changed {
+            *self = Self {
+                variance: self.variance,
+                ..Self::default()
+            };
         }
         is_changed
     }
 
+    fn ratio_variance(&self) -> f64 {
+        let mean = self.ratio_sum / f64::from(self.calls);
+        (self.ratio_square_sum / f64::from(self.calls) - mean * mean).max(0.0)
+    }
+
     fn is_changed(&self) -> bool {
         let calls = f64::from(self.calls);
-        let mean = self.ratio_sum / calls;
-        let variance = (self.ratio_square_sum / calls - mean * mean).max(0.0);
+        let variance = self.ratio_variance();
         let standard_error = (variance / calls + variance / CALLS_BEFORE).sqrt();
         let time_per_good = self.ratio_sum / self.good.max(1.0);
         let is_large = !(1.0 / CHANGE_MIN..=CHANGE_MIN).contains(&time_per_good);
