--- a/src/calls/entry/call.rs
+++ b/src/calls/entry/call.rs
@@ -87,7 +87,7 @@
             step,
             outcome,
             is_ordinary,
-            organisation: self.organisation(),
+            organisation: self.organisation().cloned(),
             inputs,
         });
     }
--- a/src/calls/entry/quota.rs
+++ b/src/calls/entry/quota.rs
@@ -1,7 +1,7 @@
 //! Takes a token of the organisation's quota for a request before it is sent.
 
 use super::Entry;
-use crate::ids::{CallKey, OrganisationName};
+use crate::ids::CallKey;
 use crate::kernel::Context;
 use crate::organisations::Principal;
 use crate::quota::{self, Outcome, Quotas, Take};
@@ -46,7 +46,7 @@
         let Some(call) = self.calls.get(&key) else {
             return;
         };
-        let Some(organisation) = call.organisation() else {
+        let Some(organisation) = call.organisation().cloned() else {
             return;
         };
         let priority = call.plan.priority;
@@ -118,7 +118,7 @@
         call: &super::EntryCall,
         verdict: &Verdict,
     ) {
-        let Some(organisation) = call.organisation() else {
+        let Some(organisation) = call.organisation().cloned() else {
             return;
         };
         let expires_us = match call.token {
@@ -138,13 +138,6 @@
     }
 }
 
-impl super::EntryCall {
-    /// Returns the organisation that sent the request, if its key named one.
-    pub(super) fn organisation(&self) -> Option<OrganisationName> {
-        Some(self.principal()?.organisation.clone())
-    }
-}
-
 /// Returns whether the key of a principal is still held by its organisation.
 fn is_accepted(context: &mut Context<'_>, principal: &Principal) -> bool {
     let routes = context.find::<Routes>(routes::NAME);
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -19,6 +19,7 @@
     ("peer_advertised_address", ADDRESS_FORMAT),
     ("announce_address", ADDRESS_FORMAT),
     ("routing.placement", "\"zone_spill\" or \"expected_time\""),
+    ("admission.limit_policy", "\"trial\" or \"learned\""),
     ("log.format", "\"text\" or \"json\""),
     ("log.level", "\"error\", \"warn\", \"info\" or \"debug\""),
 ];
