Run the quota's random steps with seeds 0 to 999

Cause: a trial had left other seed ranges in tests/quota.rs. The spread of the demand also followed from the rate.

Change: the seeds that the names say, larger rates again, spread and rate drawn apart.

--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -40,7 +40,7 @@
 fn check_random_steps(seeds: Range<u64>) {
     for seed in seeds {
         let first = quota(
-            [10.0, 30.0, 60.0][seed as usize % 3],
+            [10.0, 50.0, 120.0][seed as usize % 3],
             [0.0, 10.0, 60.0][seed as usize / 3 % 3],
         );
         let second = quota(first.rate_per_s / 4.0, first.burst / 2.0);
@@ -48,15 +48,15 @@
             seed,
             4 + seed as usize % 4,
             first,
-            SPREADS[seed as usize % 3],
+            SPREADS[seed as usize / 9 % 3],
         );
         let fault_period_us = model.rng.random_range(SECOND_US / 2..6 * SECOND_US);
         let demand_per_s = 2.0 * first.rate_per_s;
-        let changed_us = 13 * SECOND_US;
+        let changed_us = 14 * SECOND_US;
         model.run(changed_us, demand_per_s, fault_period_us);
         model.change_quota(second);
         let all_have_us = changed_us + 5 * SECOND_US / 2;
-        model.run(22 * SECOND_US, demand_per_s, fault_period_us);
+        model.run(24 * SECOND_US, demand_per_s, fault_period_us);
         println!("seed {seed}: {} ran", model.runs.len());
         model.check_bound(0, u64::MAX, first);
         model.check_bound(all_have_us + 5 * SECOND_US / 2, u64::MAX, second);
@@ -64,10 +64,10 @@
 }
 
 cases! { check_random_steps:
-    random_steps_of_seeds_0_to_249 => 4_000..5_000,
-    random_steps_of_seeds_250_to_499 => 1_000..2_000,
-    random_steps_of_seeds_500_to_749 => 2_000..3_000,
-    random_steps_of_seeds_750_to_999 => 3_000..4_000,
+    random_steps_of_seeds_0_to_249 => 0..250,
+    random_steps_of_seeds_250_to_499 => 250..500,
+    random_steps_of_seeds_500_to_749 => 500..750,
+    random_steps_of_seeds_750_to_999 => 750..1_000,
 }
 
 /// Guards against refusing requests within the quota once conditions are steady.
--- a/tests/support/quota_model.rs
+++ b/tests/support/quota_model.rs
@@ -19,7 +19,7 @@
 use crate::quota_bound::{SECOND_US, WINDOW_US, bound};
 
 const ORGANISATION: OrganisationKey = OrganisationKey(7);
-const CHECK_US: u64 = 100_000;
+const CHECK_US: u64 = 50_000;
 const TIMEOUT_US: u64 = 150_000;
 const REQUEST_LEFT_US: u64 = 3 * SECOND_US;
 
