Trial: place requests by expected response time

Cause: zones are left at a fixed load of one target, and requests cross in both directions.

Change: the setting routing.placement; with expected_time, targets are compared by expected response time, and a share of the requests for other zones follows the difference in occupancy. Replies carry the time at the guard, from which the distance to each zone is measured.

--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -89,6 +89,7 @@
             ..call.decision_inputs(context)
         };
         call.log_decision(context, Step::Placed, "sent", true, inputs);
+        count_other_zone(context, choice);
         let peer_request = PeerRequest::Call(Box::new(peer_call));
         let outbound_key = self.send_peer_request(context, choice, peer_request, left_us);
         let pending = PendingRequest {
@@ -239,6 +240,14 @@
     }
 }
 
+/// Counts a request that is sent to another availability zone.
+fn count_other_zone(context: &mut Context<'_>, choice: ChosenTarget) {
+    let router = context.find::<Router>(routing::NAME);
+    if router.is_some_and(|router| router.is_in_other_zone(choice.member)) {
+        context.count(Counter::unlabelled("other_zone_requests"));
+    }
+}
+
 pub(super) fn choose_target(
     context: &mut Context<'_>,
     query: &TargetQuery<'_>,
--- a/src/calls/entry/response.rs
+++ b/src/calls/entry/response.rs
@@ -73,6 +73,7 @@
                 latency_us,
                 Some(reply.load),
             );
+            router.record_distance(pending.member, latency_us, reply.guard_us);
         }
         self.record_kind_time(context, key, pending.member, reply.load);
         if let Some(call) = self.calls.get_mut(&key) {
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -122,12 +122,14 @@
             return;
         }
         let load = self.load(context, guard_call.peer_call.route.as_ref());
+        let guard_us = context.now_us().saturating_sub(guard_call.arrived_us);
         let reply = PeerReply {
             verdict,
             retries_unspent: guard_call.allowance.left(),
             has_failed_child: guard_call.has_failed_child,
             holder: guard_call.holder,
             load,
+            guard_us: u32::try_from(guard_us).unwrap_or(u32::MAX),
             config_version: calls::config_version(context),
             condition: self.reported_condition(&guard_call),
         };
--- a/src/request.rs
+++ b/src/request.rs
@@ -281,6 +281,8 @@
     pub holder: Option<ClaimHolder>,
     /// The guard's current load.
     pub load: LoadReport,
+    /// The time from the request's arrival at the guard to this reply.
+    pub guard_us: u32,
     /// The guard's configuration version.
     pub config_version: u64,
     /// What the target has said of itself in its answers, unless neither the guard nor the entry
--- a/src/routing.rs
+++ b/src/routing.rs
@@ -4,10 +4,13 @@
 //! threshold of its guard. Targets that fail are ejected for a while (outlier ejection).
 
 mod choice;
+mod distance;
+mod expected_time;
 mod health;
 mod kind_times;
 mod pool;
 mod slow_start;
+mod spill;
 mod target;
 
 use std::net::SocketAddr;
@@ -24,6 +27,7 @@
 use crate::request::{LoadReport, Rank};
 use crate::sorted::SortedMap;
 use crate::verdict::{Refusal, RefusalReason, Verdict};
+use distance::Distances;
 use kind_times::TypicalTimes;
 use pool::Pool;
 use target::{Target, TargetKey};
@@ -76,9 +80,24 @@
     pub excluded: &'a [MemberId],
 }
 
+/// How targets are compared, and when those of other availability zones are used.
+#[apply(value!)]
+#[serde(rename_all = "snake_case")]
+#[derive(Default)]
+pub enum Placement {
+    /// By load and latency; other zones are used from a fixed load of the own zone on, see
+    /// [`RoutingSettings::zone_spill_percent`].
+    #[default]
+    ZoneSpill,
+    /// By expected response time, which includes the measured distance to other zones.
+    ExpectedTime,
+}
+
 /// Settings of routing.
 #[apply(settings!)]
 pub struct RoutingSettings {
+    /// How targets are compared.
+    pub placement: Placement,
     /// The maximum share of a service's targets that is ejected at the same time.
     pub ejected_share_max_percent: u32,
     /// The duration of a first ejection; it doubles with each further one.
@@ -87,7 +106,8 @@
     pub ejection_max_ms: u32,
     /// How long it takes until a new target gets its full share of requests.
     pub slow_start_ms: u32,
-    /// The load of a target, in percent of its limit, above which other zones are used too.
+    /// The load of a target, in percent of its limit, above which other zones are used too, with
+    /// [`Placement::ZoneSpill`].
     pub zone_spill_percent: u32,
     /// How long a threshold applies after it was reported.
     pub threshold_fresh_ms: u32,
@@ -100,6 +120,7 @@
 impl Default for RoutingSettings {
     fn default() -> Self {
         Self {
+            placement: Placement::default(),
             ejected_share_max_percent: 50,
             ejection_ms: 1_000,
             ejection_max_ms: 30_000,
@@ -122,6 +143,7 @@
     pools: SortedMap<ServiceName, Pool>,
     probes: SortedMap<OutboundKey, MemberId>,
     typical_times: TypicalTimes,
+    distances: Distances,
     is_probe_timer_set: bool,
 }
 
@@ -130,6 +152,7 @@
     pub fn new(settings: RoutingSettings, own_zone: AvailabilityZone, own_id: MemberId) -> Self {
         Self {
             settings,
+            distances: Distances::new(own_zone.clone()),
             own_zone,
             own_id,
             targets: SlotMap::with_key(),
@@ -148,7 +171,7 @@
         rng: &mut ChaCha8Rng,
         query: &TargetQuery<'_>,
     ) -> Result<ChosenTarget, Refusal> {
-        let Some(pool) = self.pools.get(query.service) else {
+        let Some(pool) = self.pools.get_mut(query.service) else {
             return Err(refusal(
                 RefusalReason::UnknownService,
                 UNKNOWN_SERVICE_RETRY_AFTER_MS,
@@ -157,12 +180,14 @@
         let chooser = choice::Chooser {
             settings: &self.settings,
             targets: &self.targets,
-            pool,
+            local: &pool.local,
+            remote: &pool.remote,
             now_us,
             query,
             typical_us: self.typical_times.mean_us(query.kind),
+            distances: &self.distances,
         };
-        let key = chooser.choose(rng)?;
+        let key = chooser.choose(rng, &mut pool.spill)?;
         let target = &self.targets[key];
         Ok(ChosenTarget {
             member: target.member,
@@ -211,6 +236,17 @@
         }
     }
 
+    /// Records the time from sending a request to a member until its response, and the part of it
+    /// that the guard reported as its own; the difference is the distance to the member's zone.
+    pub fn record_distance(&mut self, member: MemberId, latency_us: u64, guard_us: u32) {
+        let Some(&key) = self.keys_by_member.get(&member) else {
+            return;
+        };
+        let network_us = latency_us.saturating_sub(u64::from(guard_us));
+        let zone = self.targets[key].zone;
+        self.distances.record(zone, network_us);
+    }
+
     /// Sends a probe to each daemon that could not be reached and whose next probe is due.
     fn probe_unreachable(&mut self, context: &mut Context<'_>) {
         let now_us = context.now_us();
@@ -254,6 +290,12 @@
         Some(self.targets[*key].address)
     }
 
+    /// Returns whether the target of a member is in another availability zone.
+    pub fn is_in_other_zone(&self, member: MemberId) -> bool {
+        let key = self.keys_by_member.get(&member);
+        key.is_some_and(|key| self.targets[*key].zone.is_other())
+    }
+
     /// Returns the number of members that currently serve a service.
     pub fn member_count(&self, service: &ServiceName) -> usize {
         self.pools.get(service).map_or(0, Pool::len)
@@ -287,7 +329,8 @@
         }
         self.remove_member(member.id);
         let is_local = member.id == self.own_id || member.availability_zone == self.own_zone;
-        let target = Target::new(now_us, &member, service.clone());
+        let zone = self.distances.index_of(&member.availability_zone);
+        let target = Target::new(now_us, &member, service.clone(), zone);
         let key = self.targets.insert(target);
         self.keys_by_member.insert(member.id, key);
         let pool = self.pools.get_or_insert_with(service, Pool::default);
--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -4,9 +4,11 @@
 use rand_chacha::ChaCha8Rng;
 use slotmap::SlotMap;
 
-use super::pool::Pool;
+use super::distance::Distances;
+use super::expected_time::{Basis, ExpectedTime};
+use super::spill::SpillShare;
 use super::target::{Target, TargetKey};
-use super::{RoutingSettings, TargetQuery, refusal};
+use super::{Placement, RoutingSettings, TargetQuery, refusal};
 use crate::membership::MemberState;
 use crate::verdict::{Refusal, RefusalReason};
 
@@ -74,15 +76,25 @@
     refusal(RefusalReason::Threshold, retry_after_ms)
 }
 
+/// Returns whether a target has a queue that another one does not have, beyond the usual error of
+/// the reported occupancies.
+fn has_clear_queue(occupancy: f64, other_occupancy: f64, margin: f64) -> bool {
+    occupancy > 1.0 && occupancy - other_occupancy > margin
+}
+
 /// One choice between the targets of a service, with its input.
 pub(super) struct Chooser<'a> {
     pub(super) settings: &'a RoutingSettings,
     pub(super) targets: &'a SlotMap<TargetKey, Target>,
-    pub(super) pool: &'a Pool,
+    /// The targets in the daemon's own availability zone.
+    pub(super) local: &'a [TargetKey],
+    /// The targets in other zones.
+    pub(super) remote: &'a [TargetKey],
     pub(super) now_us: u64,
     pub(super) query: &'a TargetQuery<'a>,
     /// The mean service time of the request's kind at all targets, if it is known.
     pub(super) typical_us: Option<f64>,
+    pub(super) distances: &'a Distances,
 }
 
 /// The result of a scan of the targets of the own zone or of those of the other zones.
@@ -100,27 +112,32 @@
 }
 
 impl Chooser<'_> {
-    pub(super) fn choose(&self, rng: &mut ChaCha8Rng) -> Result<TargetKey, Refusal> {
+    /// Chooses a target; `spill` is the share of the service's requests for other zones.
+    pub(super) fn choose(
+        &self,
+        rng: &mut ChaCha8Rng,
+        spill: &mut SpillShare,
+    ) -> Result<TargetKey, Refusal> {
         let ignores_threshold = rng.random_range(0..100) < self.settings.threshold_probe_percent;
-        let local = self.scan(rng, &self.pool.local, ignores_threshold);
+        let local = self.scan(rng, self.local, ignores_threshold);
         if let Some(trial) = local.trial {
             return Ok(trial);
         }
         let local_best = self.best_of_some(rng, &local.candidates);
         if let Some(local_best) = local_best
             && local.tier == Tier::Healthy
-            && self.has_room(local_best)
+            && self.has_room_in_own_zone(local_best, spill)
         {
             return Ok(local_best);
         }
-        let remote = self.scan(rng, &self.pool.remote, ignores_threshold);
+        let remote = self.scan(rng, self.remote, ignores_threshold);
         if let Some(trial) = remote.trial {
             return Ok(trial);
         }
         let remote_best = self.best_of_some(rng, &remote.candidates);
         match (local_best, remote_best) {
             (Some(local_best), Some(remote_best)) if local.tier == remote.tier => {
-                Ok(self.better(local_best, remote_best))
+                Ok(self.better_of_zones(rng, local_best, remote_best, spill))
             }
             (Some(local_best), Some(_)) if local.tier < remote.tier => Ok(local_best),
             (_, Some(remote_best)) => Ok(remote_best),
@@ -184,6 +201,65 @@
         Tier::Healthy
     }
 
+    /// Returns whether the best target of the own zone is used without comparing it with those of
+    /// other zones.
+    fn has_room_in_own_zone(&self, local: TargetKey, spill: &mut SpillShare) -> bool {
+        if self.settings.placement == Placement::ZoneSpill {
+            return self.has_room(local);
+        }
+        let delay_us = self.expected_time(local, Basis::Latest).delay_us();
+        if spill.get() > 0.0 || delay_us > self.distances.least_extra_us() {
+            return false;
+        }
+        spill.skip(self.now_us);
+        true
+    }
+
+    /// Decides between the best target of the own zone and that of the others.
+    fn better_of_zones(
+        &self,
+        rng: &mut ChaCha8Rng,
+        local: TargetKey,
+        remote: TargetKey,
+        spill: &mut SpillShare,
+    ) -> TargetKey {
+        if self.settings.placement == Placement::ZoneSpill {
+            return self.better(local, remote);
+        }
+        let local_time = self.expected_time(local, Basis::Latest);
+        let remote_time = self.expected_time(remote, Basis::Latest);
+        let local_occupancy = local_time.equivalent_occupancy();
+        let remote_occupancy = remote_time.equivalent_occupancy();
+        let local_delay_us = local_time.response_delay_us();
+        let delay_us = local_delay_us.max(remote_time.response_delay_us());
+        spill.follow(self.now_us, local_occupancy - remote_occupancy, delay_us);
+        if rng.random_bool(spill.get()) {
+            let margin = remote_time.occupancy_spread();
+            let stays = has_clear_queue(remote_occupancy, local_occupancy, margin);
+            return if stays { local } else { remote };
+        }
+        let margin = local_time.occupancy_spread();
+        let moves = has_clear_queue(local_occupancy, remote_occupancy, margin);
+        if moves { remote } else { local }
+    }
+
+    fn expected_time(&self, key: TargetKey, basis: Basis) -> ExpectedTime {
+        let target = &self.targets[key];
+        let distance_us = self.distances.extra_us(target.zone);
+        let (kind, typical_us) = (self.query.kind, self.typical_us);
+        ExpectedTime::new(target, self.now_us, kind, typical_us, distance_us, basis)
+    }
+
+    fn cost(&self, key: TargetKey) -> f64 {
+        let (kind, typical_us) = (self.query.kind, self.typical_us);
+        match self.settings.placement {
+            Placement::ZoneSpill => {
+                self.targets[key].cost(self.now_us, self.settings, kind, typical_us)
+            }
+            Placement::ExpectedTime => self.expected_time(key, Basis::Smoothed).response_us(),
+        }
+    }
+
     fn has_room(&self, key: TargetKey) -> bool {
         let target = &self.targets[key];
         let load_percent = target.load(self.now_us, self.settings) * 100.0;
@@ -207,12 +283,20 @@
     }
 
     fn better(&self, one: TargetKey, other: TargetKey) -> TargetKey {
-        let (kind, typical_us) = (self.query.kind, self.typical_us);
-        let cost = |key: TargetKey| {
-            let target = &self.targets[key];
-            target.cost(self.now_us, self.settings, kind, typical_us)
-        };
-        if cost(other) < cost(one) { other } else { one }
+        match self.cost(other) < self.cost(one) {
+            true => other,
+            false => one,
+        }
+    }
+
+    /// Returns the weight of a target in random picks. With [`Placement::ExpectedTime`], that of a
+    /// target without a report rises with time, so that the daemons do not all try it at once.
+    fn pick_weight(&self, key: TargetKey) -> u64 {
+        let target = &self.targets[key];
+        if self.settings.placement == Placement::ZoneSpill {
+            return target.slots();
+        }
+        target.slots_permille(self.now_us, self.settings)
     }
 
     /// Picks a target at random in proportion to its slots, except one that is excluded.
@@ -225,7 +309,7 @@
         let mut slots_sum = 0;
         for key in keys {
             if Some(*key) != excluded {
-                slots_sum += self.targets[*key].slots();
+                slots_sum += self.pick_weight(*key);
             }
         }
         if slots_sum == 0 {
@@ -236,7 +320,7 @@
             if Some(*key) == excluded {
                 continue;
             }
-            let slots = self.targets[*key].slots();
+            let slots = self.pick_weight(*key);
             if position < slots {
                 return Some(*key);
             }
--- a/src/routing/pool.rs
+++ b/src/routing/pool.rs
@@ -1,5 +1,6 @@
 //! The pool of targets of one service.
 
+use super::spill::SpillShare;
 use super::target::TargetKey;
 
 /// The targets of one service: those in the daemon's own availability zone, and those in others.
@@ -7,6 +8,7 @@
 pub(super) struct Pool {
     pub(super) local: Vec<TargetKey>,
     pub(super) remote: Vec<TargetKey>,
+    pub(super) spill: SpillShare,
 }
 
 impl Pool {
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -2,6 +2,7 @@
 
 use std::net::SocketAddr;
 
+use super::distance::ZoneIndex;
 use super::health::Health;
 use super::kind_times::KindTimes;
 use super::{AttemptOutcome, RoutingSettings, slow_start};
@@ -40,10 +41,22 @@
 /// The maximum interval between two probes of such a daemon.
 const PROBE_INTERVAL_MAX_US: u64 = 2_000_000;
 
+/// The time constant of the mean number of reported requests.
+const REPORTED_MEAN_US: f64 = 500_000.0;
+
 /// The last load report of a guard.
 struct Report {
     load: LoadReport,
     received_us: u64,
+    /// The moving average of the reported numbers of requests.
+    mean_requests: f64,
+}
+
+/// The numbers of requests at a target, running and queued, that its guard reported.
+#[derive(Clone, Copy)]
+pub(super) struct ReportedRequests {
+    pub(super) latest: f64,
+    pub(super) mean: f64,
 }
 
 /// One target with its state.
@@ -51,6 +64,8 @@
     pub(super) member: MemberId,
     pub(super) address: SocketAddr,
     pub(super) service: ServiceName,
+    /// The availability zone.
+    pub(super) zone: ZoneIndex,
     pub(super) state: MemberState,
     pub(super) health: Health,
     /// The incarnation in the last update, a number that the member itself raises.
@@ -58,6 +73,10 @@
     slots: u32,
     ready_since_us: u64,
     in_flight: u32,
+    /// The number of requests of this daemon that were sent after the last report was received.
+    sent_since_report: u32,
+    /// When a request of this daemon last ended, or was sent while no other was in flight.
+    silent_since_us: u64,
     mean_latency_us: Option<f64>,
     latency_sampled_us: u64,
     kind_times: KindTimes,
@@ -95,17 +114,20 @@
 }
 
 impl Target {
-    pub(super) fn new(now_us: u64, member: &Member, service: ServiceName) -> Self {
+    pub(super) fn new(now_us: u64, member: &Member, service: ServiceName, zone: ZoneIndex) -> Self {
         Self {
             member: member.id,
             address: member.address,
             service,
+            zone,
             state: member.state,
             health: Health::default(),
             incarnation: member.incarnation,
             slots: member.slots,
             ready_since_us: now_us,
             in_flight: 0,
+            sent_since_report: 0,
+            silent_since_us: now_us,
             mean_latency_us: None,
             latency_sampled_us: now_us,
             kind_times: KindTimes::default(),
@@ -137,7 +159,11 @@
         self.report = None;
     }
 
-    pub(super) fn record_sent(&mut self, _now_us: u64) {
+    pub(super) fn record_sent(&mut self, now_us: u64) {
+        if self.is_idle() {
+            self.silent_since_us = now_us;
+        }
+        self.sent_since_report = self.sent_since_report.saturating_add(1);
         self.in_flight += 1;
     }
 
@@ -149,6 +175,7 @@
         load: Option<LoadReport>,
     ) {
         self.in_flight = self.in_flight.saturating_sub(1);
+        self.silent_since_us = now_us;
         match load {
             Some(load) => self.record_reachable(now_us, load),
             None if outcome == AttemptOutcome::Unreachable => {
@@ -172,9 +199,17 @@
     /// Records that the daemon is reachable, with the load report of its guard.
     pub(super) fn record_reachable(&mut self, now_us: u64, load: LoadReport) {
         self.probe_schedule = None;
+        self.sent_since_report = 0;
+        let requests = requests_of(&load);
+        let mean_requests = self.report.as_ref().map_or(requests, |report| {
+            let gap_us = now_us.saturating_sub(report.received_us) as f64;
+            let kept = (-gap_us / REPORTED_MEAN_US).exp();
+            requests + (report.mean_requests - requests) * kept
+        });
         self.report = Some(Report {
             load,
             received_us: now_us,
+            mean_requests,
         });
     }
 
@@ -197,6 +232,39 @@
         self.latency_sampled_us = now_us;
     }
 
+    /// Returns the age of the last report, or the time since the target was ready without one.
+    pub(super) fn report_age_us(&self, now_us: u64) -> f64 {
+        let received_us = self.report.as_ref().map(|report| report.received_us);
+        now_us.saturating_sub(received_us.unwrap_or(self.ready_since_us)) as f64
+    }
+
+    /// Returns the numbers of requests that the guard reported, if it has reported any.
+    pub(super) fn reported_requests(&self) -> Option<ReportedRequests> {
+        let report = self.report.as_ref()?;
+        Some(ReportedRequests {
+            latest: requests_of(&report.load),
+            mean: report.mean_requests,
+        })
+    }
+
+    /// Returns the reported concurrency limit, or the number of slots without a report.
+    pub(super) fn limit(&self) -> u32 {
+        self.report
+            .as_ref()
+            .map_or(self.slots, |report| report.load.limit)
+    }
+
+    /// Returns the number of requests in flight that the last report does not include.
+    pub(super) fn sent_since_report(&self) -> u32 {
+        self.sent_since_report.min(self.in_flight)
+    }
+
+    /// Returns the time for which none of the requests in flight has ended; `None` if none is in
+    /// flight.
+    pub(super) fn silent_us(&self, now_us: u64) -> Option<u64> {
+        (self.in_flight > 0).then(|| now_us.saturating_sub(self.silent_since_us))
+    }
+
     /// Returns whether no request of this daemon is at the target.
     pub(super) fn is_idle(&self) -> bool {
         self.in_flight == 0
@@ -283,16 +351,26 @@
         kind: WorkKind,
         typical_us: Option<f64>,
     ) -> f64 {
-        let success_share = self.success_share(now_us).max(SUCCESS_SHARE_FLOOR);
         let load = self.load(now_us, settings);
-        let service_us = match typical_us {
-            Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
-            None => self.service_time_us(now_us),
-        };
+        let service_us = self.kind_time_us(now_us, kind, typical_us);
         let queued = (load - 1.0).max(0.0);
         let time_us = service_us * (1.0 + load + QUEUED_WEIGHT * queued);
         let rate_wait_us = self.rate_wait_us(now_us) as f64;
-        (time_us + rate_wait_us) / (success_share * success_share)
+        (time_us + rate_wait_us) * self.failure_factor(now_us)
+    }
+
+    /// Returns the service time of a kind of work, of all work if its typical time is not known.
+    pub(super) fn kind_time_us(&self, now_us: u64, kind: WorkKind, typical_us: Option<f64>) -> f64 {
+        match typical_us {
+            Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
+            None => self.service_time_us(now_us),
+        }
+    }
+
+    /// Returns the factor by which failures and lost answers raise the cost of the target.
+    pub(super) fn failure_factor(&self, now_us: u64) -> f64 {
+        let success_share = self.success_share(now_us).max(SUCCESS_SHARE_FLOOR);
+        1.0 / (success_share * success_share)
     }
 
     /// Returns the number of slots, as the weight of the target in random picks.
@@ -300,6 +378,16 @@
         u64::from(self.slots)
     }
 
+    /// Returns the number of slots in thousandths, only the share of slow start without a report.
+    pub(super) fn slots_permille(&self, now_us: u64, settings: &RoutingSettings) -> u64 {
+        if self.report.is_some() {
+            return self.slots() * 1_000;
+        }
+        let age_us = now_us.saturating_sub(self.ready_since_us);
+        let share = slow_start::share(age_us, settings.slow_start_ms);
+        (self.slots() as f64 * 1_000.0 * share) as u64
+    }
+
     /// Returns how long the queue at the guard takes to drain at the latency that this daemon
     /// measured, or at the rate limit of the target; 0 without a load report.
     pub(super) fn drain_ms(&self, now_us: u64) -> u32 {
@@ -323,7 +411,7 @@
 
     /// Returns the mean latency, which decays with age so that a target that was slow is used
     /// again.
-    fn decayed_latency_us(&self, now_us: u64) -> f64 {
+    pub(super) fn decayed_latency_us(&self, now_us: u64) -> f64 {
         let Some(mean_us) = self.mean_latency_us else {
             return LATENCY_INITIAL_US;
         };
@@ -332,3 +420,7 @@
         decayed_us.max(LATENCY_INITIAL_US.min(mean_us))
     }
 }
+
+fn requests_of(load: &LoadReport) -> f64 {
+    f64::from(load.in_flight) + f64::from(load.queued)
+}
--- a/src/settings/check.rs
+++ b/src/settings/check.rs
@@ -17,6 +17,7 @@
     ("peer_address", ADDRESS_FORMAT),
     ("peer_advertised_address", ADDRESS_FORMAT),
     ("announce_address", ADDRESS_FORMAT),
+    ("routing.placement", "\"zone_spill\" or \"expected_time\""),
     ("log.format", "\"text\" or \"json\""),
     ("log.level", "\"error\", \"warn\", \"info\" or \"debug\""),
 ];
--- a/tests/support/run_once_driver.rs
+++ b/tests/support/run_once_driver.rs
@@ -111,6 +111,7 @@
                 has_failed_child: false,
                 holder: None,
                 load: LOAD,
+                guard_us: 0,
                 config_version: 0,
                 condition: None,
             };
--- a/tests/support/sized_answers.rs
+++ b/tests/support/sized_answers.rs
@@ -53,6 +53,7 @@
             has_failed_child: false,
             holder: None,
             load: LoadReport::default(),
+            guard_us: 0,
             config_version: 0,
             condition: None,
         };
--- a/tests/support/zone_simulation.rs
+++ b/tests/support/zone_simulation.rs
@@ -370,7 +370,7 @@
         let outcome = AttemptOutcome::Answered;
         router.record_outcome(now_us, member, outcome, latency_us, Some(load));
         router.record_kind_time(now_us, member, kind(), load.service_us);
-        let _ = guard_us;
+        router.record_distance(member, latency_us, guard_us as u32);
         if call.sent_us >= WARM_UP_US {
             let wait_us = call.started_us - call.arrived_us;
             self.report
@@ -412,7 +412,8 @@
     }
 
     fn count_moved(&mut self) {
-        let seconds = (WARM_UP_US / SECOND_US) as usize..(self.scenario.end_us / SECOND_US) as usize;
+        let seconds =
+            (WARM_UP_US / SECOND_US) as usize..(self.scenario.end_us / SECOND_US) as usize;
         let mut moved = 0;
         for second in seconds.clone() {
             for sender in 0..SENDERS {
