Compare zones by the idler of two targets, and check placement

Change: the zones are compared by the shorter delay of the two targets that were drawn. The cases of tests/placement.rs run the model with both settings.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -97,6 +97,13 @@
     pub(super) distances: &'a Distances,
 }
 
+/// The better of two targets, and the one that it was compared with; the same if there is only one.
+#[derive(Clone, Copy)]
+struct Picked {
+    best: TargetKey,
+    loser: TargetKey,
+}
+
 /// The result of a scan of the targets of the own zone or of those of the other zones.
 struct Scan {
     /// The best tier that was found.
@@ -128,7 +135,7 @@
             && local.tier == Tier::Healthy
             && self.has_room_in_own_zone(local_best, spill)
         {
-            return Ok(local_best);
+            return Ok(local_best.best);
         }
         let remote = self.scan(rng, self.remote, ignores_threshold);
         if let Some(trial) = remote.trial {
@@ -139,9 +146,9 @@
             (Some(local_best), Some(remote_best)) if local.tier == remote.tier => {
                 Ok(self.better_of_zones(rng, local_best, remote_best, spill))
             }
-            (Some(local_best), Some(_)) if local.tier < remote.tier => Ok(local_best),
-            (_, Some(remote_best)) => Ok(remote_best),
-            (Some(local_best), None) => Ok(local_best),
+            (Some(local_best), Some(_)) if local.tier < remote.tier => Ok(local_best.best),
+            (_, Some(remote_best)) => Ok(remote_best.best),
+            (Some(local_best), None) => Ok(local_best.best),
             (None, None) => Err(refusal_without_candidate(&local, &remote)),
         }
     }
@@ -203,11 +210,11 @@
 
     /// Returns whether the best target of the own zone is used without comparing it with those of
     /// other zones.
-    fn has_room_in_own_zone(&self, local: TargetKey, spill: &mut SpillShare) -> bool {
+    fn has_room_in_own_zone(&self, local: Picked, spill: &mut SpillShare) -> bool {
         if self.settings.placement == Placement::ZoneSpill {
-            return self.has_room(local);
+            return self.has_room(local.best);
         }
-        let delay_us = self.expected_time(local, Basis::Latest).delay_us();
+        let delay_us = self.idler_time(local).delay_us();
         if spill.get() > 0.0 || delay_us > self.distances.least_extra_us() {
             return false;
         }
@@ -219,15 +226,15 @@
     fn better_of_zones(
         &self,
         rng: &mut ChaCha8Rng,
-        local: TargetKey,
-        remote: TargetKey,
+        local: Picked,
+        remote: Picked,
         spill: &mut SpillShare,
     ) -> TargetKey {
         if self.settings.placement == Placement::ZoneSpill {
-            return self.better(local, remote);
+            return self.better(local.best, remote.best);
         }
-        let local_time = self.expected_time(local, Basis::Latest);
-        let remote_time = self.expected_time(remote, Basis::Latest);
+        let local_time = self.idler_time(local);
+        let remote_time = self.idler_time(remote);
         let local_occupancy = local_time.equivalent_occupancy();
         let remote_occupancy = remote_time.equivalent_occupancy();
         let local_delay_us = local_time.response_delay_us();
@@ -236,11 +243,25 @@
         if rng.random_bool(spill.get()) {
             let margin = remote_time.occupancy_spread();
             let stays = has_clear_queue(remote_occupancy, local_occupancy, margin);
-            return if stays { local } else { remote };
+            return if stays { local.best } else { remote.best };
         }
         let margin = local_time.occupancy_spread();
         let moves = has_clear_queue(local_occupancy, remote_occupancy, margin);
-        if moves { remote } else { local }
+        if moves { remote.best } else { local.best }
+    }
+
+    /// Returns the expected time at the target with the shorter delay, which may be the slower one:
+    /// a zone has room as long as one of its targets has.
+    fn idler_time(&self, picked: Picked) -> ExpectedTime {
+        let best_time = self.expected_time(picked.best, Basis::Latest);
+        if picked.loser == picked.best {
+            return best_time;
+        }
+        let loser_time = self.expected_time(picked.loser, Basis::Latest);
+        match loser_time.delay_us() < best_time.delay_us() {
+            true => loser_time,
+            false => best_time,
+        }
     }
 
     fn expected_time(&self, key: TargetKey, basis: Basis) -> ExpectedTime {
@@ -268,8 +289,9 @@
     }
 
     /// Compares two random targets, and up to two more as long as the better one loses answers.
-    fn best_of_some(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<TargetKey> {
+    fn best_of_some(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<Picked> {
         let mut best = self.pick_weighted(rng, keys, None)?;
+        let mut loser = best;
         for comparison in 0..COMPARISONS_MAX {
             if comparison > 0 && !self.targets[best].loses_answers(self.now_us) {
                 break;
@@ -277,9 +299,12 @@
             let Some(other) = self.pick_weighted(rng, keys, Some(best)) else {
                 break;
             };
-            best = self.better(best, other);
+            (best, loser) = match self.better(best, other) == best {
+                true => (best, other),
+                false => (other, best),
+            };
         }
-        Some(best)
+        Some(Picked { best, loser })
     }
 
     fn better(&self, one: TargetKey, other: TargetKey) -> TargetKey {
--- a/tests/placement.rs
+++ b/tests/placement.rs
@@ -6,8 +6,9 @@
 #[path = "support/zone_simulation.rs"]
 mod zone_simulation;
 
+use dragonflylug::request::LoadReport;
 use dragonflylug::routing::{Placement, RoutingSettings};
-use zone_simulation::{Report, SECOND_US, Scenario, WORK_US, run};
+use zone_simulation::{Report, SECOND_US, Scenario, WORK_US, burst_after, run};
 
 /// The maximum time in the queue, and what share of the requests may wait longer.
 const QUEUE_MAX_US: f64 = 0.1 * WORK_US;
@@ -160,3 +161,21 @@
     let queue_us = report.queue_percentile_us(QUEUE_PERMILLE, after_us);
     assert!(queue_us as f64 <= QUEUE_MAX_US);
 }
+
+/// Guards against a burst of one daemon that goes to the target with the best old report.
+#[test]
+fn a_burst_does_not_follow_one_report() {
+    let report = |in_flight: u32| LoadReport {
+        in_flight,
+        limit: 20,
+        service_us: WORK_US as u32,
+        ..LoadReport::default()
+    };
+    let sent = burst_after(
+        &with(Placement::ExpectedTime, Scenario::default()),
+        12,
+        &[report(8), report(12)],
+    );
+    println!("sent to the targets: {sent:?}");
+    assert!(sent[0] <= 9);
+}
--- a/tests/support/zone_simulation.rs
+++ b/tests/support/zone_simulation.rs
@@ -20,6 +20,8 @@
 const ROUTE: &str = "submit";
 const ZONES: [&str; 3] = ["a", "b", "c"];
 const SENDERS: usize = 60;
+/// The member id of the first target.
+const FIRST_TARGET: u64 = 100;
 /// The relative amplitude of a zone's demand, and its period.
 const DEMAND_SWING: f64 = 0.55;
 const DEMAND_PERIOD_US: f64 = 11_000_000.0;
@@ -198,15 +200,72 @@
     WorkKind::of_route(Some(&RouteName::from(ROUTE)))
 }
 
+fn target_id(target: usize) -> MemberId {
+    MemberId(FIRST_TARGET + target as u64)
+}
+
+fn member(target: usize, scenario: &Scenario) -> Member {
+    Member {
+        id: target_id(target),
+        address: ([127, 0, 0, 1], 1_000 + target as u16).into(),
+        availability_zone: ZONES[scenario.targets[target].zone].into(),
+        service: Some(SERVICE.into()),
+        slots: scenario.slots as u32,
+        state: MemberState::Alive,
+        incarnation: 1,
+        schema_version: 1,
+    }
+}
+
+fn new_sender(sender: usize, scenario: &Scenario) -> Kernel {
+    let zone = AvailabilityZone::from(ZONES[zone_of_sender(sender)]);
+    let id = 1 + sender as u64;
+    let mut kernel = Kernel::new(id);
+    let settings = scenario.settings.clone();
+    kernel.register(Box::new(Router::new(settings, zone, MemberId(id))));
+    kernel.start(0);
+    kernel
+}
+
+fn choose(router: &mut Router, now_us: u64, rng: &mut ChaCha8Rng) -> usize {
+    let service = ServiceName::from(SERVICE);
+    let query = TargetQuery {
+        service: &service,
+        rank: Rank::of_priority(Priority::Normal),
+        kind: kind(),
+        excluded: &[],
+    };
+    let member = router.choose(now_us, rng, &query).unwrap().member;
+    router.record_sent(now_us, member);
+    (member.0 - FIRST_TARGET) as usize
+}
+
+/// Returns how many requests of a burst one daemon sends to each of the first targets, whose guards
+/// reported their load before it.
+pub fn burst_after(scenario: &Scenario, requests: usize, loads: &[LoadReport]) -> Vec<usize> {
+    let mut kernel = new_sender(0, scenario);
+    let mut rng = ChaCha8Rng::seed_from_u64(3);
+    for target in 0..loads.len() {
+        let member = member(target, scenario);
+        kernel.handle(0, Input::Notice(Notice::MemberChanged(member)));
+    }
+    let router: &mut Router = kernel.find(NAME).unwrap();
+    for (target, load) in loads.iter().enumerate() {
+        let outcome = AttemptOutcome::Answered;
+        router.record_outcome(0, target_id(target), outcome, 0, Some(*load));
+        router.record_kind_time(0, target_id(target), kind(), load.service_us);
+    }
+    let mut sent = vec![0; loads.len()];
+    for _ in 0..requests {
+        sent[choose(router, 0, &mut rng)] += 1;
+    }
+    sent
+}
+
 impl Simulation {
     fn start(&mut self) {
         for sender in 0..SENDERS {
-            let zone = AvailabilityZone::from(ZONES[zone_of_sender(sender)]);
-            let id = 1 + sender as u64;
-            let mut kernel = Kernel::new(id);
-            let settings = self.scenario.settings.clone();
-            kernel.register(Box::new(Router::new(settings, zone, MemberId(id))));
-            kernel.start(0);
+            let kernel = new_sender(sender, &self.scenario);
             self.senders.push(kernel);
         }
         for target in 0..self.scenario.targets.len() {
@@ -242,16 +301,7 @@
     }
 
     fn join(&mut self, now_us: u64, target: usize) {
-        let member = Member {
-            id: MemberId(100 + target as u64),
-            address: ([127, 0, 0, 1], 1_000 + target as u16).into(),
-            availability_zone: ZONES[self.scenario.targets[target].zone].into(),
-            service: Some(SERVICE.into()),
-            slots: self.scenario.slots as u32,
-            state: MemberState::Alive,
-            incarnation: 1,
-            schema_version: 1,
-        };
+        let member = member(target, &self.scenario);
         for sender in &mut self.senders {
             sender.handle(now_us, Input::Notice(Notice::MemberChanged(member.clone())));
         }
@@ -276,17 +326,8 @@
         }
         let zone = self.random_zone(now_us);
         let sender = zone + ZONES.len() * self.rng.random_range(0..SENDERS / ZONES.len());
-        let service = ServiceName::from(SERVICE);
-        let query = TargetQuery {
-            service: &service,
-            rank: Rank::of_priority(Priority::Normal),
-            kind: kind(),
-            excluded: &[],
-        };
         let router: &mut Router = self.senders[sender].find(NAME).unwrap();
-        let member = router.choose(now_us, &mut self.rng, &query).unwrap().member;
-        router.record_sent(now_us, member);
-        let target = (member.0 - 100) as usize;
+        let target = choose(router, now_us, &mut self.rng);
         let call = Call {
             sender,
             sent_us: now_us,
@@ -364,7 +405,7 @@
     }
 
     fn receive(&mut self, now_us: u64, target: usize, call: Call, guard_us: u64, load: LoadReport) {
-        let member = MemberId(100 + target as u64);
+        let member = target_id(target);
         let latency_us = now_us - call.sent_us;
         let router: &mut Router = self.senders[call.sender].find(NAME).unwrap();
         let outcome = AttemptOutcome::Answered;
