--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -11,7 +11,9 @@
 use dragonflylug::kernel::{Input, Kernel, Notice};
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::request::{LoadReport, Rank};
-use dragonflylug::routing::{AttemptOutcome, NAME, Router, RoutingSettings, TargetQuery};
+use dragonflylug::routing::{
+    AttemptOutcome, NAME, Placement, Router, RoutingSettings, TargetQuery,
+};
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
@@ -77,9 +79,13 @@
 
 /// Creates a kernel with a router that knows members of many services; the first `pool` members
 /// belong to the service that is called.
-fn kernel_with_router(members: u64, pool: u64) -> Kernel {
+fn kernel_with_router(members: u64, pool: u64, placement: Placement) -> Kernel {
     let mut kernel = Kernel::new(1);
-    let router = Router::new(RoutingSettings::default(), "a".into(), MemberId(0));
+    let settings = RoutingSettings {
+        placement,
+        ..RoutingSettings::default()
+    };
+    let router = Router::new(settings, "a".into(), MemberId(0));
     kernel.register(Box::new(router));
     kernel.start(0);
     for id in 0..members {
@@ -100,7 +106,16 @@
 }
 
 fn bench_routing(criterion: &mut Criterion) {
-    let mut group = criterion.benchmark_group("routing");
+    bench_placement(criterion, "routing", Placement::ZoneSpill);
+    bench_placement(
+        criterion,
+        "routing_by_expected_time",
+        Placement::ExpectedTime,
+    );
+}
+
+fn bench_placement(criterion: &mut Criterion, group: &str, placement: Placement) {
+    let mut group = criterion.benchmark_group(group);
     let load = LoadReport {
         threshold: Rank::MIN,
         in_flight: 10,
@@ -121,7 +136,7 @@
         (17_000, 1_000),
         (17_000, 17_000),
     ] {
-        let mut kernel = kernel_with_router(members, pool);
+        let mut kernel = kernel_with_router(members, pool, placement);
         let service = ServiceName::from("service0");
         let mut rng = ChaCha8Rng::seed_from_u64(1);
         let mut now_us = 0;
