--- a/tests/calls.rs
+++ b/tests/calls.rs
@@ -17,6 +17,7 @@
 use dragonflylug::metrics::{Counter, RetryReason};
 use dragonflylug::operator::OperatorRequest;
 use dragonflylug::request::{Answer, RunKey};
+use dragonflylug::routing::Placement;
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 use network::{ChildCall, Network};
@@ -60,6 +61,33 @@
     }
 }
 
+/// Guards against a counter of requests to other zones that also counts those to the own zone.
+fn check_other_zone_requests((entry_zone, expected): (&str, u64)) {
+    let mut network = Network::new(500);
+    let mut settings = Settings::default();
+    settings.routing.placement = Placement::ExpectedTime;
+    for (number, zone, service) in [(1, entry_zone, None), (2, "b", Some("lookups"))] {
+        let spec = NodeSpec {
+            number,
+            zone,
+            service,
+            slots: 4,
+        };
+        add_node(&mut network, &settings, &spec);
+    }
+    network.run_until(CONVERGENCE_US);
+    for call in 1..=3 {
+        exchange(&mut network, 0, call, request("lookups", "GET", "/free"));
+    }
+    let counted = network.counter_total(Counter::unlabelled("other_zone_requests"));
+    assert_eq!(counted, expected);
+}
+
+cases! { check_other_zone_requests:
+    requests_to_another_zone_are_counted => ("a", 3),
+    requests_to_the_own_zone_are_not_counted_as_to_another => ("b", 0),
+}
+
 #[test]
 fn an_idempotent_call_gets_the_targets_answer() {
     let mut network = two_guards();
