--- a/src/routing/expected_time.rs
+++ b/src/routing/expected_time.rs
@@ -17,7 +17,7 @@
 const SILENT_FACTOR: f64 = 3.0;
 /// The age of a report, in service times, at which the difference between the reported number of
 /// requests and the mean one falls to a share of 1/e.
-const REPORT_MEMORY: f64 = 0.5;
+const REPORT_MEMORY: f64 = 0.25;
 /// The time in which a reported queue halves without a new report, so that a target that was full is
 /// used again.
 const QUEUE_HALF_LIFE_US: f64 = 2_000_000.0;
