--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -23,7 +23,7 @@
 const FACTOR_MAX_PERMILLE: f64 = 20_000.0;
 
 /// The minimum of an organisation's admitted share, as a share of that of all.
-const FACTOR_MIN: f64 = 0.15;
+const FACTOR_MIN: f64 = 0.3;
 
 /// The maximum number of organisations of a priority whose rates are estimated; the others have the
 /// neutral factor.
