Give less important organisations the priorities of their routes

Change: all requests of the most important organisations are critical, those of the next have the priority of their route. No request of a less important organisation comes before one of a more important one.

--- a/src/organisations.rs
+++ b/src/organisations.rs
@@ -17,7 +17,7 @@
 ///
 /// No request of a less important organisation comes before one of a more important organisation;
 /// among organisations of the same importance the route decides.
-const IMPORTANCES: [[u32; 3]; 3] = [[0, 1, 1], [1, 2, 3], [3, 3, 3]];
+const IMPORTANCES: [[u32; 3]; 3] = [[0, 0, 0], [0, 1, 2], [2, 3, 3]];
 
 /// The digest of a key, from which the key cannot be recovered.
 #[apply(value!)]
