Name the parts of quotas by usual terms

OrganisationKey, the hash of an organisation's name, was easily taken for the key that requests carry; Applicants and rank (beside the rank of requests) did not say what they are. They become OrganisationHash, TokenClient and rendezvous_hash. Doc comments name their parameters, units and reasons; the idle time of a demand is a named constant. Encoding, metrics and settings are as before.

--- a/benches/decisions.rs
+++ b/benches/decisions.rs
@@ -12,7 +12,7 @@
 use dragonflylug::membership::{Member, MemberState};
 use dragonflylug::organisations::Quota;
 use dragonflylug::quota::{
-    Applicants, Grant, OrganisationKey, QuotaSettings, QuotaState, Take, View, WaitingRequest,
+    Grant, OrganisationHash, QuotaSettings, QuotaState, Take, TokenClient, View, WaitingRequest,
 };
 use dragonflylug::request::{LoadReport, Rank};
 use dragonflylug::routing::{
@@ -193,27 +193,27 @@
 fn bench_quota(criterion: &mut Criterion) {
     let mut group = criterion.benchmark_group("quota");
     group.bench_function("take_granted_token", |bencher| {
-        let mut applicants = Applicants::new(QuotaSettings::default());
+        let mut client = TokenClient::new(QuotaSettings::default());
         let request = WaitingRequest {
             call: CallKey(1),
             priority: Priority::Normal,
             until_us: DISTANT_DEADLINE_US,
         };
         for organisation in 0..ORGANISATIONS {
-            applicants.take(0, OrganisationKey(organisation), request);
+            client.take(0, OrganisationHash(organisation), request);
         }
-        let organisation = OrganisationKey(ORGANISATIONS / 2);
+        let organisation = OrganisationHash(ORGANISATIONS / 2);
         let grant = Grant {
             tokens: 2,
             next_ms: None,
         };
-        applicants.record_grant(0, 0, organisation, grant);
+        client.record_grant(0, 0, organisation, grant);
         bencher.iter(|| {
-            let take = applicants.take(1, organisation, request);
+            let take = client.take(1, organisation, request);
             let Take::Granted(expires_us) = take else {
                 return;
             };
-            applicants.give_back(1, organisation, expires_us);
+            client.give_back(1, organisation, expires_us);
         });
     });
     for members in [61, 17_000] {
@@ -222,9 +222,9 @@
         let mut state = QuotaState::new(settings, 0, MemberId(0), own);
         add_members(state.view_mut(), members);
         let organisations = 0..10 * members;
-        let mut is_own = |key: &u64| state.view_mut().owner(OrganisationKey(*key)) == Some(own);
+        let mut is_own = |key: &u64| state.view_mut().owner(OrganisationHash(*key)) == Some(own);
         let own_key = organisations.into_iter().find(&mut is_own);
-        let organisation = OrganisationKey(own_key.expect("this daemon owns one of them"));
+        let organisation = OrganisationHash(own_key.expect("this daemon owns one of them"));
         let mut quotas = dragonflylug::sorted::SortedMap::default();
         let quota = Quota {
             rate_per_s: 100.0,
--- a/src/quota.rs
+++ b/src/quota.rs
@@ -18,13 +18,13 @@
 
 pub use bucket::Bucket;
 pub use lender::Lender;
-pub use message::{Grant, Message, OrganisationKey};
+pub use message::{Grant, Message, OrganisationHash};
 pub use owner::{BorrowRequest, Loan, Owner};
 pub use service::{QuotaDecision, Quotas};
 pub use settings::QuotaSettings;
 pub use state::{Actions, Outgoing, Pending, QuotaState};
 pub use view::View;
-pub use waiting::{Applicants, Outcome, Take, WaitingRequest};
+pub use waiting::{Outcome, Take, TokenClient, WaitingRequest};
 
 /// The name of the quota service.
 pub const NAME: &str = "quota";
--- a/src/quota/bucket.rs
+++ b/src/quota/bucket.rs
@@ -27,8 +27,8 @@
 /// The token bucket of one organisation.
 ///
 /// Each share fills it by an equal part of the rate until it expires, and extends its capacity by an
-/// equal part of the burst. Since a share is lent to one owner at a time, all buckets of an organisation
-/// together hold and receive no more than one bucket would.
+/// equal part of the burst. Since a share is lent to one owner at a time, all buckets of an
+/// organisation together hold and receive no more than one bucket would.
 #[derive(Clone, Debug)]
 pub struct Bucket {
     quota: Quota,
@@ -55,8 +55,9 @@
         self.limit_level();
     }
 
-    /// Records that a share is lent until a time, after it was free for a time. A share that was
-    /// free brings the tokens with which it would have filled its part of the bucket meanwhile.
+    /// Records that a share is lent until `expires_us`. A share that was not lent to anyone for
+    /// `free_ms` brings the tokens with which it would have filled its part of the bucket
+    /// meanwhile.
     pub fn add_share(
         &mut self,
         now_us: u64,
@@ -77,7 +78,7 @@
         if is_new {
             let free_s = to_us(free_ms) as f64 / US_PER_S;
             let filled = self.quota.rate_per_s * free_s;
-            self.level += self.weight() * filled.min(self.whole_capacity());
+            self.level += self.part_of_share() * filled.min(self.whole_capacity());
         }
         self.limit_level();
     }
@@ -94,7 +95,7 @@
         self.part()
     }
 
-    /// Takes up to a number of tokens, and up to `ahead` more while the bucket stays half full;
+    /// Takes up to `wanted` tokens, and up to `ahead` more while the bucket stays half full;
     /// returns how many.
     pub fn take(&mut self, now_us: u64, wanted: u16, ahead: u16) -> u16 {
         self.fill(now_us);
@@ -106,7 +107,8 @@
         tokens + ahead
     }
 
-    /// Returns the time until the next token; `None` if the shares that are held suffice for none.
+    /// Returns the time until the next token; `None` if the shares that are held never hold a whole
+    /// token.
     pub fn next_token_us(&mut self, now_us: u64) -> Option<u64> {
         let part = self.held_part(now_us);
         if self.capacity() < 1.0 {
@@ -123,7 +125,7 @@
             let until_us = share.expires_us.min(now_us);
             filled_s += until_us.saturating_sub(self.filled_us) as f64 / US_PER_S;
         }
-        self.level += self.quota.rate_per_s * filled_s * self.weight();
+        self.level += self.quota.rate_per_s * filled_s * self.part_of_share();
         self.filled_us = self.filled_us.max(now_us);
         self.shares.retain(|_, share| share.expires_us > now_us);
         self.limit_level();
@@ -137,13 +139,14 @@
         self.whole_capacity() * self.part()
     }
 
+    /// Returns the part of the rate and of the burst that all shares held are.
     fn part(&self) -> f64 {
-        self.weight() * self.shares.len() as f64
+        self.part_of_share() * self.shares.len() as f64
     }
 
     /// Returns the part of the rate and of the burst that one share is. A lender that started in a
     /// partition may count too few daemons, so the greatest count of all lenders applies.
-    fn weight(&self) -> f64 {
+    fn part_of_share(&self) -> f64 {
         let counts = self.shares.values().map(|share| share.lenders);
         1.0 / counts.max().unwrap_or(1).max(1) as f64
     }
--- a/src/quota/lender.rs
+++ b/src/quota/lender.rs
@@ -3,16 +3,17 @@
 use std::net::SocketAddr;
 
 use super::settings::to_us;
-use super::{OrganisationKey, QuotaSettings};
+use super::{OrganisationHash, QuotaSettings};
 use crate::sorted::SortedMap;
 
-/// How long a share may have been free at most, as far as it is remembered.
+/// The maximum time for which a share counts as free; loans that ended earlier are forgotten.
 const FREE_MAX_US: u64 = 60_000_000;
 
 /// A loan of one share.
 #[derive(Clone, Copy, Debug)]
 struct Loan {
     to: SocketAddr,
+    /// The highest sequence number of the owner's requests for this loan.
     sequence: u64,
     expires_us: u64,
 }
@@ -21,7 +22,7 @@
 #[derive(Clone, Debug)]
 pub struct Lender {
     settings: QuotaSettings,
-    loans: SortedMap<OrganisationKey, Loan>,
+    loans: SortedMap<OrganisationHash, Loan>,
 }
 
 impl Lender {
@@ -34,12 +35,13 @@
     }
 
     /// Lends the share of an organisation, or renews its loan, and returns how long the share was
-    /// free; `None` if another owner has it. The caller has lent nothing before `ready_us`.
+    /// free in milliseconds; `None` if another owner has it. This daemon has lent nothing before
+    /// `ready_us`.
     pub fn lend(
         &mut self,
         now_us: u64,
         ready_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         to: SocketAddr,
         sequence: u64,
     ) -> Option<u32> {
@@ -64,7 +66,7 @@
     pub fn release(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         from: SocketAddr,
         sequence: u64,
     ) {
@@ -76,7 +78,7 @@
         }
     }
 
-    /// Forgets the loans that ended so long ago that their time no longer matters.
+    /// Forgets the loans that ended more than [`FREE_MAX_US`] ago.
     pub fn forget(&mut self, now_us: u64) {
         self.loans
             .retain(|_, loan| loan.expires_us + FREE_MAX_US > now_us);
--- a/src/quota/message.rs
+++ b/src/quota/message.rs
@@ -7,12 +7,13 @@
 use crate::derives::{message, value};
 use crate::ids::OrganisationName;
 
-/// Identifies an organisation in messages: the hash of its name.
+/// Identifies an organisation in messages: the hash of its name. It is unrelated to the keys that
+/// requests carry.
 #[apply(value!)]
-pub struct OrganisationKey(pub u64);
+pub struct OrganisationHash(pub u64);
 
-impl OrganisationKey {
-    /// Returns the key of an organisation.
+impl OrganisationHash {
+    /// Returns the hash of an organisation's name.
     pub fn of(name: &OrganisationName) -> Self {
         Self(xxhash_rust::xxh3::xxh3_64(name.as_str().as_bytes()))
     }
@@ -23,8 +24,8 @@
 pub struct Grant {
     /// The number of tokens.
     pub tokens: u16,
-    /// The time until the next token; `None` if it is not known, because the receiver is not the
-    /// owner or has no share of the rate yet.
+    /// The time until the next token; `None` if it is not known, because the daemon that was asked
+    /// is not the owner or has too small a part of the rate yet.
     pub next_ms: Option<u32>,
 }
 
@@ -42,7 +43,7 @@
     /// Requests tokens of an organisation from its owner.
     Ask {
         /// The organisation.
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         /// The number of requests that wait.
         waiting: u16,
         /// The number of tokens beyond that, to be granted only while they are not short.
@@ -57,14 +58,14 @@
         /// Increases with each message of the owner.
         sequence: u64,
         /// The organisations.
-        organisations: Vec<OrganisationKey>,
+        organisations: Vec<OrganisationHash>,
     },
     /// Responds to [`Message::Borrow`].
     Loans {
         /// The number of daemons among which the sender counts the rate as shared out.
         lenders: u16,
-        /// For each organisation, how long the share was free before this loan (0 for a renewal);
-        /// `None` if it is not lent.
+        /// For each organisation, for how long the share was not lent before this loan (0 for a
+        /// renewal); `None` if the sender does not lend it.
         free_ms: Vec<Option<u32>>,
     },
     /// Gives back the shares that were lent after a message of the sender.
@@ -74,11 +75,11 @@
         /// The sequence number of its last request for these shares.
         sequence: u64,
         /// The organisations.
-        organisations: Vec<OrganisationKey>,
+        organisations: Vec<OrganisationHash>,
     },
     /// Responds to [`Message::Release`].
     Released,
-    /// Requests the daemons that are absent and keep their shares, for a daemon that starts.
+    /// Requests the list of absent daemons that keep their shares; sent by a daemon that starts.
     ListAbsent,
     /// Responds to [`Message::ListAbsent`] with addresses, and for how long each keeps its share, in
     /// milliseconds.
--- a/src/quota/owner.rs
+++ b/src/quota/owner.rs
@@ -3,12 +3,12 @@
 use std::net::SocketAddr;
 
 use super::settings::{to_ms_rounded_up, to_us};
-use super::{Bucket, Grant, OrganisationKey, QuotaSettings, View};
+use super::{Bucket, Grant, OrganisationHash, QuotaSettings, View};
 use crate::organisations::Quota;
 use crate::sorted::SortedMap;
 
-/// The part of the rate from which on an owner says that tokens are short, and not that it has too
-/// few shares yet.
+/// The part of the rate that an owner must hold to say when the next token is available. With less,
+/// it may only be waiting for loans.
 const READY_PART: f64 = 0.9;
 
 /// A request for the shares of some organisations at one lender.
@@ -19,14 +19,14 @@
     /// Increases with each request of the owner.
     pub sequence: u64,
     /// The organisations.
-    pub organisations: Vec<OrganisationKey>,
+    pub organisations: Vec<OrganisationHash>,
 }
 
 /// The response of a lender to a request for its share of one organisation's rate.
 #[derive(Clone, Copy, Debug)]
 pub struct Loan {
     /// The organisation.
-    pub organisation: OrganisationKey,
+    pub organisation: OrganisationHash,
     /// The address of the lender.
     pub lender: SocketAddr,
     /// The number of daemons among which the lender counts the rate as shared out.
@@ -40,10 +40,10 @@
     pub free_ms: Option<u32>,
 }
 
-/// The requests to one lender for its share.
+/// The state of the requests to one lender for its share.
 #[derive(Clone, Copy, Debug, Default)]
-struct Requests {
-    /// When it is next asked.
+struct LenderState {
+    /// When the next request is due.
     next_us: u64,
     /// The sequence number of the last request; 0 if there was none.
     sequence: u64,
@@ -53,13 +53,15 @@
 #[derive(Clone, Debug)]
 struct Owned {
     bucket: Bucket,
+    /// When the bucket was created.
     since_us: u64,
     /// The sequence number of the last request before this bucket was created. Responses to that and
     /// earlier ones are ignored: the shares may have been given back since.
     sequence_before: u64,
+    /// When tokens were last asked for.
     used_us: u64,
     /// The lenders by the view with `view_version`.
-    lenders: SortedMap<SocketAddr, Requests>,
+    lenders: SortedMap<SocketAddr, LenderState>,
     view_version: u64,
 }
 
@@ -67,7 +69,7 @@
 #[derive(Clone, Debug)]
 pub struct Owner {
     settings: QuotaSettings,
-    owned: SortedMap<OrganisationKey, Owned>,
+    owned: SortedMap<OrganisationHash, Owned>,
     sequence: u64,
 }
 
@@ -93,7 +95,7 @@
 
     /// Creates the bucket of an organisation that this daemon owns by its view, without shares yet,
     /// unless there is one.
-    pub fn open(&mut self, now_us: u64, organisation: OrganisationKey, quota: Quota) {
+    pub fn open(&mut self, now_us: u64, organisation: OrganisationHash, quota: Quota) {
         let sequence_before = self.sequence;
         let owned = self.owned.get_or_insert_with(organisation, || Owned {
             bucket: Bucket::new(now_us, quota),
@@ -106,11 +108,15 @@
         owned.used_us = now_us;
     }
 
-    /// Grants tokens from a bucket.
+    /// Grants up to `waiting` tokens from a bucket, and up to `ahead` more while they are not
+    /// short.
+    ///
+    /// The time of the next token is told once the first loans, with one retry, should have
+    /// arrived, or once the bucket holds [`READY_PART`] of the rate.
     pub fn grant(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         waiting: u16,
         ahead: u16,
     ) -> Grant {
@@ -118,8 +124,8 @@
             return Grant::UNKNOWN;
         };
         let tokens = owned.bucket.take(now_us, waiting, ahead);
-        let borrowed_us = owned.since_us + 2 * to_us(self.settings.retry_ms);
-        let is_ready = now_us >= borrowed_us || owned.bucket.held_part(now_us) >= READY_PART;
+        let loans_expected_us = owned.since_us + 2 * to_us(self.settings.retry_ms);
+        let is_ready = now_us >= loans_expected_us || owned.bucket.held_part(now_us) >= READY_PART;
         let next_us = owned.bucket.next_token_us(now_us).filter(|_| is_ready);
         Grant {
             tokens,
@@ -130,15 +136,15 @@
     /// Returns the requests for shares that are due, and counts them as sent.
     pub fn due_requests(&mut self, now_us: u64, view: &View) -> Vec<BorrowRequest> {
         let sequence = now_us.max(self.sequence + 1);
-        let mut requests: SortedMap<SocketAddr, Vec<OrganisationKey>> = SortedMap::default();
+        let mut requests: SortedMap<SocketAddr, Vec<OrganisationHash>> = SortedMap::default();
         for (organisation, owned) in self.owned.iter_mut() {
             owned.update_lenders(view, *organisation);
-            for (lender, asked) in owned.lenders.iter_mut() {
-                if asked.next_us > now_us {
+            for (lender, state) in owned.lenders.iter_mut() {
+                if state.next_us > now_us {
                     continue;
                 }
-                asked.next_us = now_us + to_us(self.settings.renew_ms);
-                asked.sequence = sequence;
+                state.next_us = now_us + to_us(self.settings.renew_ms);
+                state.sequence = sequence;
                 requests
                     .get_or_insert_with(*lender, Vec::new)
                     .push(*organisation);
@@ -166,8 +172,8 @@
         }
         let Some(free_ms) = loan.free_ms else {
             let retry_us = now_us + to_us(self.settings.retry_ms);
-            if let Some(asked) = owned.lenders.get_mut(&loan.lender) {
-                asked.next_us = retry_us.min(asked.next_us);
+            if let Some(state) = owned.lenders.get_mut(&loan.lender) {
+                state.next_us = retry_us.min(state.next_us);
             }
             return;
         };
@@ -178,14 +184,14 @@
             .add_share(now_us, loan.lender, expires_us, lenders, free_ms);
     }
 
-    /// Returns whether a bucket holds less than nearly all shares.
+    /// Returns whether any bucket holds less than [`READY_PART`] of the rate.
     pub fn is_short_of_shares(&mut self, now_us: u64) -> bool {
         let mut buckets = self.owned.values_mut().map(|owned| &mut owned.bucket);
         buckets.any(|bucket| bucket.held_part(now_us) < READY_PART)
     }
 
     /// Applies a new set of quotas: buckets of organisations without one are dropped.
-    pub fn set_quotas(&mut self, now_us: u64, quotas: &SortedMap<OrganisationKey, Quota>) {
+    pub fn set_quotas(&mut self, now_us: u64, quotas: &SortedMap<OrganisationHash, Quota>) {
         self.owned
             .retain(|organisation, _| quotas.contains_key(organisation));
         for (organisation, owned) in self.owned.iter_mut() {
@@ -203,10 +209,10 @@
             if view.owner(*organisation) == Some(view.own()) {
                 return true;
             }
-            for (to, asked) in owned.lenders.iter() {
+            for (to, state) in owned.lenders.iter() {
                 lost.push(BorrowRequest {
                     to: *to,
-                    sequence: asked.sequence,
+                    sequence: state.sequence,
                     organisations: vec![*organisation],
                 });
             }
@@ -215,7 +221,8 @@
         lost
     }
 
-    /// Drops the buckets that nobody has asked for. Their loans end by themselves.
+    /// Drops the buckets of which no tokens were asked for within `idle_ms`. Their loans end by
+    /// themselves.
     pub fn drop_idle(&mut self, now_us: u64) {
         let idle_us = to_us(self.settings.idle_ms);
         self.owned
@@ -225,15 +232,15 @@
 
 impl Owned {
     /// Follows a changed view: new lenders are asked at once, former ones are no longer asked.
-    fn update_lenders(&mut self, view: &View, organisation: OrganisationKey) {
+    fn update_lenders(&mut self, view: &View, organisation: OrganisationHash) {
         if self.view_version == view.version() {
             return;
         }
         self.view_version = view.version();
         let mut lenders = SortedMap::default();
         for lender in view.lenders(organisation) {
-            let asked = self.lenders.get(&lender).copied().unwrap_or_default();
-            lenders.insert(lender, asked);
+            let state = self.lenders.get(&lender).copied().unwrap_or_default();
+            lenders.insert(lender, state);
         }
         self.lenders = lenders;
     }
--- a/src/quota/service.rs
+++ b/src/quota/service.rs
@@ -5,7 +5,7 @@
 use macro_rules_attribute::apply;
 
 use super::settings::to_us;
-use super::{Actions, NAME, OrganisationKey, Outcome, Pending, QuotaSettings, QuotaState, Take};
+use super::{Actions, NAME, OrganisationHash, Outcome, Pending, QuotaSettings, QuotaState, Take};
 use crate::calls::entry;
 use crate::derives::value;
 use crate::ids::{CallKey, InboundKey, MemberId, OrganisationName, OutboundKey, Priority};
@@ -76,7 +76,7 @@
 
     /// Returns whether an organisation has a quota.
     pub fn is_limited(&self, organisation: &OrganisationName) -> bool {
-        !self.state.is_empty() && self.state.is_limited(OrganisationKey::of(organisation))
+        !self.state.is_empty() && self.state.is_limited(OrganisationHash::of(organisation))
     }
 
     /// Takes a token for a request with some time left, or lets the request wait for one; the
@@ -89,7 +89,7 @@
         priority: Priority,
         left_us: u64,
     ) -> Take {
-        let key = OrganisationKey::of(organisation);
+        let key = OrganisationHash::of(organisation);
         let (take, actions) = self
             .state
             .take(context.now_us(), key, call, priority, left_us);
@@ -107,17 +107,17 @@
         organisation: &OrganisationName,
         expires_us: u64,
     ) {
-        let key = OrganisationKey::of(organisation);
+        let key = OrganisationHash::of(organisation);
         let actions = self.state.give_back(context.now_us(), key, expires_us);
         self.execute(context, actions);
     }
 
     /// Removes a request that waits for a token.
     pub fn cancel(&mut self, organisation: &OrganisationName, call: CallKey) {
-        self.state.cancel(OrganisationKey::of(organisation), call);
+        self.state.cancel(OrganisationHash::of(organisation), call);
     }
 
-    /// Sends messages, tells the entry of decisions and counts.
+    /// Sends the messages, passes the decisions to the entry and updates the counters.
     fn execute(&mut self, context: &mut Context<'_>, actions: Actions) {
         for outgoing in actions.outgoing {
             let request = PeerRequest::Quota(outgoing.message);
@@ -132,11 +132,11 @@
             }
         }
         for (call, outcome) in actions.decided {
-            report(context, call, outcome);
+            notify_entry(context, call, outcome);
         }
-        count_some(context, TOKENS_GRANTED, actions.granted);
-        count_some(context, TOKENS_LAPSED, actions.lapsed);
-        count_some(context, OWNERS_CHANGED, actions.owners_changed);
+        count_nonzero(context, TOKENS_GRANTED, actions.granted);
+        count_nonzero(context, TOKENS_LAPSED, actions.lapsed);
+        count_nonzero(context, OWNERS_CHANGED, actions.owners_changed);
         self.schedule_check(context);
     }
 
@@ -153,7 +153,8 @@
         self.execute(context, actions);
     }
 
-    /// Reads what the membership has found and renews loans, periodically while there are quotas.
+    /// Reads the member list of the membership service and renews loans; repeats every `renew_ms`
+    /// while there are quotas.
     fn renew(&mut self, context: &mut Context<'_>) {
         self.is_renew_set = !self.state.is_empty();
         if !self.is_renew_set {
@@ -195,7 +196,7 @@
             let Some(quota) = organisation.quota.filter(|quota| quota.rate_per_s > 0.0) else {
                 continue;
             };
-            quotas.insert(OrganisationKey::of(&organisation.name), quota);
+            quotas.insert(OrganisationHash::of(&organisation.name), quota);
         }
         self.state.set_quotas(context.now_us(), quotas);
         if !self.is_renew_set {
@@ -218,7 +219,7 @@
             }
             Notice::Resumed { .. } => {
                 let lapsed = self.state.drop_tokens();
-                count_some(context, TOKENS_LAPSED, lapsed);
+                count_nonzero(context, TOKENS_LAPSED, lapsed);
             }
             _ => return,
         }
@@ -280,8 +281,8 @@
     }
 }
 
-/// Tells the entry what became of a request that waited.
-fn report(context: &mut Context<'_>, call: CallKey, outcome: Outcome) {
+/// Sends the decision on a request that waited to the entry, and counts a refusal.
+fn notify_entry(context: &mut Context<'_>, call: CallKey, outcome: Outcome) {
     match outcome {
         Outcome::Granted(_) => {}
         Outcome::Exceeded { .. } => count_refusal(context, "exceeded"),
@@ -291,7 +292,7 @@
     context.queue_event(entry::NAME, Event::QuotaDecided(decision));
 }
 
-fn count_some(context: &mut Context<'_>, counter: Counter, by: u64) {
+fn count_nonzero(context: &mut Context<'_>, counter: Counter, by: u64) {
     if by > 0 {
         context.count_by(counter, by);
     }
--- a/src/quota/state.rs
+++ b/src/quota/state.rs
@@ -4,8 +4,8 @@
 
 use super::settings::to_us;
 use super::{
-    Applicants, BorrowRequest, Grant, Lender, Loan, Message, OrganisationKey, Outcome, Owner,
-    QuotaSettings, Take, View, WaitingRequest,
+    BorrowRequest, Grant, Lender, Loan, Message, OrganisationHash, Outcome, Owner, QuotaSettings,
+    Take, TokenClient, View, WaitingRequest,
 };
 use crate::ids::{CallKey, MemberId, Priority};
 use crate::organisations::Quota;
@@ -31,7 +31,7 @@
     /// Tokens from an owner.
     Ask {
         /// The organisation.
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         /// When the message was sent.
         sent_us: u64,
     },
@@ -49,7 +49,7 @@
     },
 }
 
-/// What follows from a step.
+/// What the service must do after an event.
 #[derive(Clone, Debug, Default)]
 pub struct Actions {
     /// Messages to send.
@@ -71,8 +71,8 @@
     view: View,
     /// The view's version at which the buckets of other owners were last dropped.
     checked_version: u64,
-    quotas: SortedMap<OrganisationKey, Quota>,
-    applicants: Applicants,
+    quotas: SortedMap<OrganisationHash, Quota>,
+    client: TokenClient,
     owner: Owner,
     lender: Lender,
 }
@@ -84,7 +84,7 @@
             view: View::new(settings.clone(), now_us, id, own),
             checked_version: 0,
             quotas: SortedMap::default(),
-            applicants: Applicants::new(settings.clone()),
+            client: TokenClient::new(settings.clone()),
             owner: Owner::new(settings.clone()),
             lender: Lender::new(settings.clone()),
             settings,
@@ -102,7 +102,7 @@
     }
 
     /// Returns whether an organisation has a quota.
-    pub fn is_limited(&self, organisation: OrganisationKey) -> bool {
+    pub fn is_limited(&self, organisation: OrganisationHash) -> bool {
         self.quotas.contains_key(&organisation)
     }
 
@@ -120,7 +120,7 @@
     pub fn take(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         call: CallKey,
         priority: Priority,
         left_us: u64,
@@ -131,7 +131,7 @@
             priority,
             until_us: now_us + wait_us,
         };
-        let take = self.applicants.take(now_us, organisation, request);
+        let take = self.client.take(now_us, organisation, request);
         let mut actions = Actions::default();
         if take == Take::Waiting {
             self.ask(now_us, organisation, &mut actions);
@@ -143,18 +143,18 @@
     pub fn give_back(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         expires_us: u64,
     ) -> Actions {
         Actions {
-            decided: self.applicants.give_back(now_us, organisation, expires_us),
+            decided: self.client.give_back(now_us, organisation, expires_us),
             ..Actions::default()
         }
     }
 
     /// Removes a request that waits for a token.
-    pub fn cancel(&mut self, organisation: OrganisationKey, call: CallKey) {
-        self.applicants.cancel(organisation, call);
+    pub fn cancel(&mut self, organisation: OrganisationHash, call: CallKey) {
+        self.client.cancel(organisation, call);
     }
 
     /// Handles a message of a daemon and returns the response.
@@ -186,6 +186,7 @@
                 Message::Released
             }
             Message::ListAbsent => Message::Absent(self.view.absent(now_us)),
+            // Not requests; a daemon sends these only as responses.
             Message::Grant(_) | Message::Loans { .. } | Message::Released | Message::Absent(_) => {
                 Message::Released
             }
@@ -209,13 +210,13 @@
                 },
                 Some(Message::Grant(grant)),
             ) => {
-                actions.decided =
-                    self.applicants
-                        .record_grant(now_us, sent_us, organisation, grant);
+                actions.decided = self
+                    .client
+                    .record_grant(now_us, sent_us, organisation, grant);
                 self.ask(now_us, organisation, &mut actions);
             }
             (Pending::Ask { organisation, .. }, _) => {
-                self.applicants.record_failure(now_us, organisation);
+                self.client.record_failure(now_us, organisation);
             }
             (Pending::Borrow { request, sent_us }, Some(Message::Loans { lenders, free_ms })) => {
                 self.record_loans(now_us, sent_us, &request, lenders, &free_ms);
@@ -263,12 +264,13 @@
     }
 
     /// Applies the quotas of a new route table.
-    pub fn set_quotas(&mut self, now_us: u64, quotas: SortedMap<OrganisationKey, Quota>) {
+    pub fn set_quotas(&mut self, now_us: u64, quotas: SortedMap<OrganisationHash, Quota>) {
         self.quotas = quotas;
         self.owner.set_quotas(now_us, &self.quotas);
     }
 
-    /// Renews loans and forgets what is over; called every `renew_ms`.
+    /// Renews loans, and drops idle buckets, ended loans and former daemons; called every
+    /// `renew_ms`.
     pub fn renew(&mut self, now_us: u64) -> Actions {
         self.view.forget(now_us);
         self.lender.forget(now_us);
@@ -287,13 +289,13 @@
 
     /// Ends waits that have lasted too long, and asks owners and lenders again.
     pub fn check(&mut self, now_us: u64) -> Actions {
-        let (decided, lapsed) = self.applicants.expire(now_us);
+        let (decided, lapsed) = self.client.expire(now_us);
         let mut actions = Actions {
             decided,
             lapsed,
             ..Actions::default()
         };
-        for organisation in self.applicants.waiting_organisations() {
+        for organisation in self.client.waiting_organisations() {
             self.ask(now_us, organisation, &mut actions);
         }
         self.borrow(now_us, &mut actions);
@@ -303,21 +305,21 @@
     /// Returns whether requests wait, tokens are unused or shares are missing, so that
     /// [`Self::check`] must be called soon.
     pub fn needs_check(&mut self, now_us: u64) -> bool {
-        self.applicants.is_active() || self.owner.is_short_of_shares(now_us)
+        self.client.is_active() || self.owner.is_short_of_shares(now_us)
     }
 
     /// Drops all tokens after a pause of the process, and returns how many.
     pub fn drop_tokens(&mut self) -> u64 {
-        self.applicants.drop_tokens()
+        self.client.drop_tokens()
     }
 
     /// Asks the owner for tokens, unless nothing waits or a request is in flight.
-    fn ask(&mut self, now_us: u64, organisation: OrganisationKey, actions: &mut Actions) {
-        let Some((waiting, ahead)) = self.applicants.next_ask(now_us, organisation) else {
+    fn ask(&mut self, now_us: u64, organisation: OrganisationHash, actions: &mut Actions) {
+        let Some((waiting, ahead)) = self.client.next_ask(now_us, organisation) else {
             return;
         };
         let Some(to) = self.view.owner(organisation) else {
-            self.applicants.record_failure(now_us, organisation);
+            self.client.record_failure(now_us, organisation);
             return;
         };
         let sent_us = now_us;
@@ -339,7 +341,7 @@
     fn grant(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         (waiting, ahead): (u16, u16),
         actions: &mut Actions,
     ) -> Grant {
@@ -401,20 +403,22 @@
         }
     }
 
-    /// Lends this daemon's shares to the owner that it sees itself.
+    /// Lends this daemon's shares of some organisations to a daemon, where that is the owner by its
+    /// own view. Returns for each how long the share was free, in milliseconds; `None` if it is not
+    /// lent.
     fn lend(
         &mut self,
         now_us: u64,
         to: SocketAddr,
         sequence: u64,
-        organisations: &[OrganisationKey],
+        organisations: &[OrganisationHash],
     ) -> Vec<Option<u32>> {
         let mut free_ms = Vec::new();
         for organisation in organisations {
-            let is_due =
+            let may_borrow =
                 self.view.owner(*organisation) == Some(to) && self.view.is_lender(*organisation);
             let since_us = self.view.may_lend_since(now_us, *organisation, to);
-            let lent = since_us.filter(|_| is_due).and_then(|ready_us| {
+            let lent = since_us.filter(|_| may_borrow).and_then(|ready_us| {
                 self.lender
                     .lend(now_us, ready_us, *organisation, to, sequence)
             });
@@ -428,7 +432,7 @@
         now_us: u64,
         from: SocketAddr,
         sequence: u64,
-        organisations: &[OrganisationKey],
+        organisations: &[OrganisationHash],
     ) {
         for organisation in organisations {
             self.lender.release(now_us, *organisation, from, sequence);
--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -1,14 +1,15 @@
-//! Which daemons there are, and who among them owns and lends an organisation's rate.
+//! The daemons that a daemon knows, and which of them own and lend an organisation's rate.
 
 use std::cmp::Reverse;
 use std::net::{IpAddr, SocketAddr};
 
 use super::settings::to_us;
-use super::{OrganisationKey, QuotaSettings};
+use super::{OrganisationHash, QuotaSettings};
 use crate::ids::MemberId;
 use crate::sorted::SortedMap;
 
-/// A daemon that starts waits anew if it learns of more than one in this many addresses.
+/// While a daemon starts, its wait begins again when the known addresses have grown by more than
+/// one in this many.
 const GROWTH_DIVISOR: usize = 16;
 
 /// The maximum number of daemons that are asked for the absent ones at once.
@@ -21,7 +22,8 @@
     Live,
     /// It is leaving in a planned way.
     Leaving,
-    /// It is gone, or only a row of the platform's table names it; it keeps its share until then.
+    /// It is gone, or only a row of the platform's table or another daemon names it. It keeps its
+    /// share until `until_us`.
     Absent { until_us: u64 },
 }
 
@@ -43,17 +45,18 @@
     /// The addresses in rows that were recorded, sorted; each counts once only, since the row of a
     /// daemon that left may have been read before.
     row_addresses: Vec<SocketAddr>,
-    /// The number of known addresses that counts as settled, and since when this daemon may lend.
+    /// The number of known addresses when the wait of a starting daemon last began.
     settled_len: usize,
+    /// When that wait ends and this daemon may lend.
     ready_us: u64,
-    /// When a further daemon appeared last.
+    /// When an address was last added.
     grown_us: u64,
     has_read_members: bool,
     has_read_absent: bool,
     is_stopping: bool,
     version: u64,
     /// The owners found since `version` was `owners_version`.
-    owners: SortedMap<OrganisationKey, Option<SocketAddr>>,
+    owners: SortedMap<OrganisationHash, Option<SocketAddr>>,
     owners_version: u64,
 }
 
@@ -91,7 +94,8 @@
         self.own
     }
 
-    /// Increases whenever an owner or a lender may have changed.
+    /// Returns the version of the view, which increases whenever an owner or a lender may have
+    /// changed.
     pub fn version(&self) -> u64 {
         self.version
     }
@@ -104,13 +108,13 @@
         id: MemberId,
         is_leaving: bool,
     ) {
+        if address == self.own {
+            return;
+        }
         let state = match is_leaving {
             true => State::Leaving,
             false => State::Live,
         };
-        if address == self.own {
-            return;
-        }
         self.insert(now_us, address, id, state);
     }
 
@@ -180,8 +184,8 @@
         absent
     }
 
-    /// Returns some daemons to ask for the absent ones while this daemon starts, each once; all again
-    /// if none has answered.
+    /// Returns up to [`ASKED_MAX`] daemons to ask for the absent ones while this daemon starts.
+    /// Each is asked once, and all again if none has answered.
     pub fn next_to_ask(&mut self, now_us: u64) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
         if now_us >= self.ready_us && self.has_read_absent {
@@ -224,7 +228,8 @@
         self.version += u64::from(self.daemons.len() < before);
     }
 
-    /// Returns since when this daemon may lend its shares; `None` if it may not.
+    /// Returns the time in microseconds since which this daemon may lend its shares; `None` if it
+    /// may not.
     pub fn ready_us(&self, now_us: u64) -> Option<u64> {
         let alone_us = self.started_us + to_us(self.settings.alone_ms);
         let ready_us = match self.daemons.len() {
@@ -236,12 +241,12 @@
         is_ready.then_some(ready_us)
     }
 
-    /// Returns since when this daemon may lend its share of an organisation to an owner; `None` if it
-    /// may not.
+    /// Returns the time in microseconds since which this daemon may lend its share of an
+    /// organisation to an owner; `None` if it may not.
     pub fn may_lend_since(
         &self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         to: SocketAddr,
     ) -> Option<u64> {
         let ready_us = self.ready_us(now_us);
@@ -254,15 +259,15 @@
     }
 
     /// Returns the daemon with the highest rendezvous hash among all known ones.
-    fn first_choice(&self, organisation: OrganisationKey) -> Option<SocketAddr> {
+    fn first_choice(&self, organisation: OrganisationHash) -> Option<SocketAddr> {
         let addresses = self.daemons.keys();
         addresses
             .copied()
-            .max_by_key(|address| (rank(organisation, *address), *address))
+            .max_by_key(|address| (rendezvous_hash(organisation, *address), *address))
     }
 
     /// Returns the owner of an organisation: the live daemon with the highest rendezvous hash.
-    pub fn owner(&mut self, organisation: OrganisationKey) -> Option<SocketAddr> {
+    pub fn owner(&mut self, organisation: OrganisationHash) -> Option<SocketAddr> {
         if self.owners_version != self.version {
             self.owners_version = self.version;
             self.owners = SortedMap::default();
@@ -275,14 +280,14 @@
         owner
     }
 
-    fn find_owner(&self, organisation: OrganisationKey) -> Option<SocketAddr> {
+    fn find_owner(&self, organisation: OrganisationHash) -> Option<SocketAddr> {
         let mut highest = None;
         for (address, daemon) in self.daemons.iter() {
             let is_own_stop = self.is_stopping && *address == self.own;
             if daemon.state != State::Live || is_own_stop {
                 continue;
             }
-            highest = highest.max(Some((rank(organisation, *address), *address)));
+            highest = highest.max(Some((rendezvous_hash(organisation, *address), *address)));
         }
         highest.map(|(_, address)| address)
     }
@@ -295,31 +300,33 @@
 
     /// Returns the daemons among which an organisation's rate is shared out: those with the highest
     /// rendezvous hashes among all that are known.
-    pub fn lenders(&self, organisation: OrganisationKey) -> Vec<SocketAddr> {
-        let mut ranks = Vec::new();
+    pub fn lenders(&self, organisation: OrganisationHash) -> Vec<SocketAddr> {
+        let mut by_hash = Vec::new();
         for address in self.daemons.keys() {
-            ranks.push(Reverse((rank(organisation, *address), *address)));
+            by_hash.push(Reverse((rendezvous_hash(organisation, *address), *address)));
         }
-        ranks.sort_unstable();
-        ranks.truncate(self.lenders_len());
+        by_hash.sort_unstable();
+        by_hash.truncate(self.lenders_len());
         let mut lenders = Vec::new();
-        for Reverse((_, address)) in ranks {
+        for Reverse((_, address)) in by_hash {
             lenders.push(address);
         }
         lenders
     }
 
     /// Returns whether this daemon has a share of an organisation's rate.
-    pub fn is_lender(&self, organisation: OrganisationKey) -> bool {
+    pub fn is_lender(&self, organisation: OrganisationHash) -> bool {
         if self.daemons.len() <= self.lenders_len() {
             return true;
         }
-        let own_rank = (rank(organisation, self.own), self.own);
-        let is_higher =
-            |address: &&SocketAddr| (rank(organisation, **address), **address) > own_rank;
+        let own_hash = (rendezvous_hash(organisation, self.own), self.own);
+        let is_higher = |address: &&SocketAddr| {
+            (rendezvous_hash(organisation, **address), **address) > own_hash
+        };
         self.daemons.keys().filter(is_higher).count() < self.lenders_len()
     }
 
+    /// Records the state of a daemon. A starting daemon waits again after many additions.
     fn insert(&mut self, now_us: u64, address: SocketAddr, id: MemberId, state: State) {
         let daemon = Daemon {
             id,
@@ -344,7 +351,7 @@
 }
 
 /// Returns the rendezvous hash of an organisation and an address.
-fn rank(organisation: OrganisationKey, address: SocketAddr) -> u64 {
+fn rendezvous_hash(organisation: OrganisationHash, address: SocketAddr) -> u64 {
     let mut bytes = [0; 26];
     match address.ip() {
         IpAddr::V4(ip) => bytes[..4].copy_from_slice(&ip.octets()),
--- a/src/quota/waiting.rs
+++ b/src/quota/waiting.rs
@@ -4,7 +4,7 @@
 
 use super::lease::Lease;
 use super::settings::{to_ms_rounded_up, to_us};
-use super::{Grant, OrganisationKey, QuotaSettings};
+use super::{Grant, OrganisationHash, QuotaSettings};
 use crate::derives::value;
 use crate::ids::{CallKey, Priority};
 use crate::sorted::SortedMap;
@@ -12,6 +12,9 @@
 /// The time constant of the estimated demand of an organisation at this daemon.
 const DEMAND_US: f64 = 1_000_000.0;
 
+/// The time without requests after which the demand of an organisation is forgotten.
+const DEMAND_IDLE_US: u64 = 10_000_000;
+
 /// A request that asks for a token.
 #[derive(Clone, Copy, Debug)]
 pub struct WaitingRequest {
@@ -26,11 +29,11 @@
 /// The response to a request for a token.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Take {
-    /// The request has a token that expires at this time.
+    /// The request has a token that expires at this time, in microseconds.
     Granted(u64),
     /// The request waits.
     Waiting,
-    /// Tokens are short until this time has passed.
+    /// Tokens are short; the request is refused.
     Exceeded {
         /// The time until the next token.
         retry_after_ms: u32,
@@ -40,7 +43,7 @@
 /// What became of a request that waited.
 #[apply(value!)]
 pub enum Outcome {
-    /// It has a token that expires at this time.
+    /// It has a token that expires at this time, in microseconds.
     Granted(u64),
     /// The quota is exhausted.
     Exceeded {
@@ -57,7 +60,7 @@
     lease: Lease,
     /// The requests that wait, in the order in which they get tokens.
     waiting: Vec<WaitingRequest>,
-    /// Until when the owner said that there is no token.
+    /// When the next token is available, as the owner said.
     short_until_us: u64,
     /// The number of requests that the request in flight to the owner asks for.
     asked: Option<u16>,
@@ -67,15 +70,15 @@
     recent_us: u64,
 }
 
-/// The organisations whose requests reach this daemon.
+/// Obtains tokens from owners for the requests that reach this daemon.
 #[derive(Clone, Debug)]
-pub struct Applicants {
+pub struct TokenClient {
     settings: QuotaSettings,
-    demands: SortedMap<OrganisationKey, Demand>,
+    demands: SortedMap<OrganisationHash, Demand>,
 }
 
-impl Applicants {
-    /// Creates the state of a daemon without tokens.
+impl TokenClient {
+    /// Creates a client without tokens.
     pub fn new(settings: QuotaSettings) -> Self {
         Self {
             settings,
@@ -87,7 +90,7 @@
     pub fn take(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         request: WaitingRequest,
     ) -> Take {
         let demand = self
@@ -110,9 +113,10 @@
         Take::Waiting
     }
 
-    /// Returns the numbers of tokens to ask the owner for, for the requests that wait and ahead, and
-    /// counts the request as sent; `None` if nothing waits or a request is in flight.
-    pub fn next_ask(&mut self, now_us: u64, organisation: OrganisationKey) -> Option<(u16, u16)> {
+    /// Returns the number of tokens to request from the owner for the requests that wait, and the
+    /// number to request ahead, and counts the request as sent. Returns `None` if nothing waits, a
+    /// request is in flight or the delay after a failed one is not over.
+    pub fn next_ask(&mut self, now_us: u64, organisation: OrganisationHash) -> Option<(u16, u16)> {
         let demand = self.demands.get_mut(&organisation)?;
         if demand.waiting.is_empty() || demand.asked.is_some() || demand.ask_again_us > now_us {
             return None;
@@ -125,7 +129,7 @@
     }
 
     /// Returns the organisations of which requests wait.
-    pub fn waiting_organisations(&self) -> Vec<OrganisationKey> {
+    pub fn waiting_organisations(&self) -> Vec<OrganisationHash> {
         let mut organisations = Vec::new();
         for (organisation, demand) in self.demands.iter() {
             if !demand.waiting.is_empty() {
@@ -135,14 +139,15 @@
         organisations
     }
 
-    /// Distributes the tokens that the owner granted to a request sent at `sent_us`; they expire by
-    /// that time. If the owner says when the next token is there, the requests without one are
-    /// refused; if it does not, they go on waiting.
+    /// Distributes the tokens that the owner granted in response to a message sent at `sent_us`.
+    /// They expire `lease_ms` after that time. If the owner granted fewer than were asked for and
+    /// says when the next token is available, the requests without one are refused; otherwise they
+    /// go on waiting.
     pub fn record_grant(
         &mut self,
         now_us: u64,
         sent_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         grant: Grant,
     ) -> Vec<(CallKey, Outcome)> {
         let Some(demand) = self.demands.get_mut(&organisation) else {
@@ -170,18 +175,19 @@
     }
 
     /// Records that the owner did not answer; it is asked again after a delay.
-    pub fn record_failure(&mut self, now_us: u64, organisation: OrganisationKey) {
+    pub fn record_failure(&mut self, now_us: u64, organisation: OrganisationHash) {
         if let Some(demand) = self.demands.get_mut(&organisation) {
             demand.asked = None;
             demand.ask_again_us = now_us + to_us(self.settings.retry_ms);
         }
     }
 
-    /// Takes a token back that was not used, unless it has expired.
+    /// Takes back a token that was not used, unless it has expired, and gives it to a request that
+    /// waits.
     pub fn give_back(
         &mut self,
         now_us: u64,
-        organisation: OrganisationKey,
+        organisation: OrganisationHash,
         expires_us: u64,
     ) -> Vec<(CallKey, Outcome)> {
         let Some(demand) = self.demands.get_mut(&organisation) else {
@@ -194,14 +200,14 @@
     }
 
     /// Removes a request that no longer waits.
-    pub fn cancel(&mut self, organisation: OrganisationKey, call: CallKey) {
+    pub fn cancel(&mut self, organisation: OrganisationHash, call: CallKey) {
         if let Some(demand) = self.demands.get_mut(&organisation) {
             demand.waiting.retain(|request| request.call != call);
         }
     }
 
     /// Removes the requests that have waited as long as they may, drops expired tokens and forgets
-    /// organisations without demand. Returns the requests and the number of tokens.
+    /// organisations without demand. Returns the removed requests and the number of dropped tokens.
     pub fn expire(&mut self, now_us: u64) -> (Vec<(CallKey, Outcome)>, u64) {
         let mut decided = Vec::new();
         let mut lapsed = 0;
@@ -242,6 +248,7 @@
         self.recent_us = now_us;
     }
 
+    /// Gives tokens to the requests that wait, and returns the requests that got one.
     fn distribute(&mut self, now_us: u64) -> Vec<(CallKey, Outcome)> {
         let mut decided = Vec::new();
         while !self.waiting.is_empty() {
@@ -255,8 +262,7 @@
     }
 
     fn is_in_use(&self, now_us: u64) -> bool {
-        let idle_us = now_us.saturating_sub(self.recent_us) as f64;
-        let is_recent = idle_us < 10.0 * DEMAND_US;
+        let is_recent = now_us.saturating_sub(self.recent_us) < DEMAND_IDLE_US;
         is_recent || self.asked.is_some() || !self.waiting.is_empty()
     }
 }
--- a/tests/quota.rs
+++ b/tests/quota.rs
@@ -15,7 +15,7 @@
 use dragonflylug::ids::{CallKey, MemberId, Priority};
 use dragonflylug::organisations::Quota;
 use dragonflylug::quota::{
-    Applicants, Bucket, Grant, Lender, OrganisationKey, Outcome, QuotaSettings, Take, View,
+    Bucket, Grant, Lender, OrganisationHash, Outcome, QuotaSettings, Take, TokenClient, View,
     WaitingRequest,
 };
 use rand::RngExt;
@@ -23,7 +23,7 @@
 use quota_bound::SECOND_US;
 use quota_model::{Model, Spread};
 
-const ORGANISATION: OrganisationKey = OrganisationKey(1);
+const ORGANISATION: OrganisationHash = OrganisationHash(1);
 
 const SPREADS: [Spread; 3] = [Spread::Even, Spread::Two, Spread::Moving];
 
@@ -154,7 +154,7 @@
 /// they expired.
 #[test]
 fn waiting_requests_get_tokens_by_priority_and_arrival() {
-    let mut applicants = Applicants::new(QuotaSettings::default());
+    let mut client = TokenClient::new(QuotaSettings::default());
     let priorities = [Priority::Low, Priority::High, Priority::High, Priority::Low];
     for (call, priority) in priorities.into_iter().enumerate() {
         let call = CallKey(call as u64);
@@ -164,14 +164,14 @@
             priority,
             until_us,
         };
-        assert_eq!(applicants.take(0, ORGANISATION, request), Take::Waiting);
+        assert_eq!(client.take(0, ORGANISATION, request), Take::Waiting);
     }
-    assert_eq!(applicants.next_ask(0, ORGANISATION), Some((4, 0)));
+    assert_eq!(client.next_ask(0, ORGANISATION), Some((4, 0)));
     let grant = Grant {
         tokens: 3,
         next_ms: Some(40),
     };
-    let decided = applicants.record_grant(1_000, 0, ORGANISATION, grant);
+    let decided = client.record_grant(1_000, 0, ORGANISATION, grant);
     let granted = |call| (CallKey(call), Outcome::Granted(300_000));
     let exceeded = (CallKey(3), Outcome::Exceeded { retry_after_ms: 40 });
     assert_eq!(decided, [granted(1), granted(2), granted(0), exceeded]);
@@ -181,12 +181,12 @@
         until_us: SECOND_US,
     };
     let exceeded = Take::Exceeded { retry_after_ms: 31 };
-    assert_eq!(applicants.take(10_000, ORGANISATION, late), exceeded);
-    applicants.give_back(20_000, ORGANISATION, 300_000);
+    assert_eq!(client.take(10_000, ORGANISATION, late), exceeded);
+    client.give_back(20_000, ORGANISATION, 300_000);
     assert_eq!(
-        applicants.take(299_999, ORGANISATION, late),
+        client.take(299_999, ORGANISATION, late),
         Take::Granted(300_000)
     );
-    applicants.give_back(300_000, ORGANISATION, 300_000);
-    assert_eq!(applicants.take(300_000, ORGANISATION, late), Take::Waiting);
+    client.give_back(300_000, ORGANISATION, 300_000);
+    assert_eq!(client.take(300_000, ORGANISATION, late), Take::Waiting);
 }
--- a/tests/quota_nodes.rs
+++ b/tests/quota_nodes.rs
@@ -17,7 +17,7 @@
 use dragonflylug::kernel::Event;
 use dragonflylug::organisations::Quota;
 use dragonflylug::peer::PeerRequest;
-use dragonflylug::quota::{OrganisationKey, QuotaSettings, View};
+use dragonflylug::quota::{OrganisationHash, QuotaSettings, View};
 use dragonflylug::routes::RouteUpdate;
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
@@ -79,7 +79,7 @@
     for number in 1..NODES {
         view.record_member(0, address(number), nodes_id(number), false);
     }
-    let owner = view.owner(OrganisationKey::of(&ORGANISATION.into()));
+    let owner = view.owner(OrganisationHash::of(&ORGANISATION.into()));
     let is_owner = |number: &u16| Some(address(*number)) == owner;
     usize::from((0..NODES).find(is_owner).expect("a node is the owner"))
 }
--- a/tests/support/quota_model.rs
+++ b/tests/support/quota_model.rs
@@ -10,7 +10,7 @@
 use dragonflylug::ids::{CallKey, MemberId, Priority};
 use dragonflylug::organisations::Quota;
 use dragonflylug::quota::{
-    Actions, Message, OrganisationKey, Outcome, Pending, QuotaSettings, QuotaState, Take,
+    Actions, Message, OrganisationHash, Outcome, Pending, QuotaSettings, QuotaState, Take,
 };
 use dragonflylug::sorted::SortedMap;
 use rand::{RngExt, SeedableRng};
@@ -18,7 +18,7 @@
 
 use crate::quota_bound::{SECOND_US, WINDOW_US, bound};
 
-const ORGANISATION: OrganisationKey = OrganisationKey(7);
+const ORGANISATION: OrganisationHash = OrganisationHash(7);
 const CHECK_US: u64 = 50_000;
 const TIMEOUT_US: u64 = 150_000;
 const REQUEST_LEFT_US: u64 = 3 * SECOND_US;
