Tell the feedback delay of reports from the delay of a request

ExpectedTime had delay_us and response_delay_us, and SpillShare took the second as response_us. It is feedback_delay_us in all places now. Constants that count service times say so in their names, Basis, which also exists for shedding, is LoadEstimate, and the methods of Scan follow its definition.

--- a/src/routing/choice.rs
+++ b/src/routing/choice.rs
@@ -5,7 +5,7 @@
 use slotmap::SlotMap;
 
 use super::distance::Distances;
-use super::expected_time::{Basis, ExpectedTime};
+use super::expected_time::{ExpectedTime, LoadEstimate};
 use super::spill::SpillShare;
 use super::target::{Target, TargetKey};
 use super::{Placement, RoutingSettings, TargetQuery, refusal};
@@ -41,29 +41,6 @@
     Unreachable,
 }
 
-impl Scan {
-    fn is_sufficient(&self) -> bool {
-        let has_candidates = self.tier == Tier::Healthy && self.candidates.len() >= CANDIDATES_MAX;
-        has_candidates || self.below_threshold_count >= BELOW_THRESHOLD_MAX
-    }
-
-    fn record_below_threshold(&mut self, drain_ms: u32) {
-        self.below_threshold_count += 1;
-        let shortest_ms = self.shortest_drain_ms.unwrap_or(u32::MAX);
-        self.shortest_drain_ms = Some(shortest_ms.min(drain_ms));
-    }
-
-    fn add_candidate(&mut self, key: TargetKey, tier: Tier) {
-        if tier < self.tier {
-            self.tier = tier;
-            self.candidates.clear();
-        }
-        if tier == self.tier {
-            self.candidates.push(key);
-        }
-    }
-}
-
 /// Returns the refusal of a request for which there is no candidate: after the shortest drain time
 /// of the targets whose threshold is above its rank, or [`RefusalReason::NoTarget`] without any.
 fn refusal_without_candidate(local: &Scan, remote: &Scan) -> Refusal {
@@ -76,8 +53,8 @@
     refusal(RefusalReason::Threshold, retry_after_ms)
 }
 
-/// Returns whether a target has a queue that another one does not have, beyond the usual error of
-/// the reported occupancies.
+/// Returns whether a target has a queue and its occupancy exceeds that of another one by more than
+/// the usual error of reported occupancies.
 fn has_clear_queue(occupancy: f64, other_occupancy: f64, margin: f64) -> bool {
     occupancy > 1.0 && occupancy - other_occupancy > margin
 }
@@ -97,11 +74,12 @@
     pub(super) distances: &'a Distances,
 }
 
-/// The better of two targets, and the one that it was compared with; the same if there is only one.
+/// The better of two targets, and the one that it was compared with, which is the same if there is
+/// only one.
 #[derive(Clone, Copy)]
 struct Picked {
     best: TargetKey,
-    loser: TargetKey,
+    other: TargetKey,
 }
 
 /// The result of a scan of the targets of the own zone or of those of the other zones.
@@ -118,6 +96,29 @@
     below_threshold_count: usize,
 }
 
+impl Scan {
+    fn is_sufficient(&self) -> bool {
+        let has_candidates = self.tier == Tier::Healthy && self.candidates.len() >= CANDIDATES_MAX;
+        has_candidates || self.below_threshold_count >= BELOW_THRESHOLD_MAX
+    }
+
+    fn record_below_threshold(&mut self, drain_ms: u32) {
+        self.below_threshold_count += 1;
+        let shortest_ms = self.shortest_drain_ms.unwrap_or(u32::MAX);
+        self.shortest_drain_ms = Some(shortest_ms.min(drain_ms));
+    }
+
+    fn add_candidate(&mut self, key: TargetKey, tier: Tier) {
+        if tier < self.tier {
+            self.tier = tier;
+            self.candidates.clear();
+        }
+        if tier == self.tier {
+            self.candidates.push(key);
+        }
+    }
+}
+
 impl Chooser<'_> {
     /// Chooses a target; `spill` is the share of the service's requests for other zones.
     pub(super) fn choose(
@@ -214,11 +215,11 @@
         if self.settings.placement == Placement::ZoneSpill {
             return self.has_room(local.best);
         }
-        let delay_us = self.idler_time(local).delay_us();
-        if spill.get() > 0.0 || delay_us > self.distances.least_extra_us() {
+        let delay_us = self.least_delayed_time(local).delay_us();
+        if spill.share() > 0.0 || delay_us > self.distances.least_extra_us() {
             return false;
         }
-        spill.skip(self.now_us);
+        spill.skip_update(self.now_us);
         true
     }
 
@@ -233,14 +234,14 @@
         if self.settings.placement == Placement::ZoneSpill {
             return self.better(local.best, remote.best);
         }
-        let local_time = self.idler_time(local);
-        let remote_time = self.idler_time(remote);
+        let local_time = self.least_delayed_time(local);
+        let remote_time = self.least_delayed_time(remote);
         let local_occupancy = local_time.equivalent_occupancy();
         let remote_occupancy = remote_time.equivalent_occupancy();
-        let local_delay_us = local_time.response_delay_us();
-        let delay_us = local_delay_us.max(remote_time.response_delay_us());
-        spill.follow(self.now_us, local_occupancy - remote_occupancy, delay_us);
-        if rng.random_bool(spill.get()) {
+        let local_feedback_us = local_time.feedback_delay_us();
+        let feedback_us = local_feedback_us.max(remote_time.feedback_delay_us());
+        spill.update(self.now_us, local_occupancy - remote_occupancy, feedback_us);
+        if rng.random_bool(spill.share()) {
             let margin = remote_time.occupancy_spread();
             let stays = has_clear_queue(remote_occupancy, local_occupancy, margin);
             return if stays { local.best } else { remote.best };
@@ -250,25 +251,25 @@
         if moves { remote.best } else { local.best }
     }
 
-    /// Returns the expected time at the target with the shorter delay, which may be the slower one:
-    /// a zone has room as long as one of its targets has.
-    fn idler_time(&self, picked: Picked) -> ExpectedTime {
-        let best_time = self.expected_time(picked.best, Basis::Latest);
-        if picked.loser == picked.best {
+    /// Returns the expected time at the one of two compared targets that has the shorter delay,
+    /// which may be the slower one: a zone has room as long as one of its targets has.
+    fn least_delayed_time(&self, picked: Picked) -> ExpectedTime {
+        let best_time = self.expected_time(picked.best, LoadEstimate::Latest);
+        if picked.other == picked.best {
             return best_time;
         }
-        let loser_time = self.expected_time(picked.loser, Basis::Latest);
-        match loser_time.delay_us() < best_time.delay_us() {
-            true => loser_time,
+        let other_time = self.expected_time(picked.other, LoadEstimate::Latest);
+        match other_time.delay_us() < best_time.delay_us() {
+            true => other_time,
             false => best_time,
         }
     }
 
-    fn expected_time(&self, key: TargetKey, basis: Basis) -> ExpectedTime {
+    fn expected_time(&self, key: TargetKey, estimate: LoadEstimate) -> ExpectedTime {
         let target = &self.targets[key];
         let distance_us = self.distances.extra_us(target.zone);
         let (kind, typical_us) = (self.query.kind, self.typical_us);
-        ExpectedTime::new(target, self.now_us, kind, typical_us, distance_us, basis)
+        ExpectedTime::new(target, self.now_us, kind, typical_us, distance_us, estimate)
     }
 
     fn cost(&self, key: TargetKey) -> f64 {
@@ -277,7 +278,9 @@
             Placement::ZoneSpill => {
                 self.targets[key].cost(self.now_us, self.settings, kind, typical_us)
             }
-            Placement::ExpectedTime => self.expected_time(key, Basis::Smoothed).response_us(),
+            Placement::ExpectedTime => self
+                .expected_time(key, LoadEstimate::Smoothed)
+                .response_us(),
         }
     }
 
@@ -291,7 +294,7 @@
     /// Compares two random targets, and up to two more as long as the better one loses answers.
     fn best_of_some(&self, rng: &mut ChaCha8Rng, keys: &[TargetKey]) -> Option<Picked> {
         let mut best = self.pick_weighted(rng, keys, None)?;
-        let mut loser = best;
+        let mut compared = best;
         for comparison in 0..COMPARISONS_MAX {
             if comparison > 0 && !self.targets[best].loses_answers(self.now_us) {
                 break;
@@ -299,12 +302,15 @@
             let Some(other) = self.pick_weighted(rng, keys, Some(best)) else {
                 break;
             };
-            (best, loser) = match self.better(best, other) == best {
+            (best, compared) = match self.better(best, other) == best {
                 true => (best, other),
                 false => (other, best),
             };
         }
-        Some(Picked { best, loser })
+        Some(Picked {
+            best,
+            other: compared,
+        })
     }
 
     fn better(&self, one: TargetKey, other: TargetKey) -> TargetKey {
--- a/src/routing/distance.rs
+++ b/src/routing/distance.rs
@@ -2,9 +2,9 @@
 
 use crate::ids::AvailabilityZone;
 
-/// The distance that is assumed for another zone without a measurement.
+/// The extra round-trip time that is assumed for another zone without a measurement.
 const DISTANCE_INITIAL_US: f64 = 1_000.0;
-/// The maximum distance, and that of a single sample.
+/// The maximum of a sample, and thereby of the mean.
 const DISTANCE_MAX_US: f64 = 30_000.0;
 /// The weight of a new sample in the mean distance.
 const SAMPLE_WEIGHT: f64 = 0.05;
@@ -63,7 +63,8 @@
         *mean_us = Some(before_us + SAMPLE_WEIGHT * (sample_us - before_us));
     }
 
-    /// Returns how much longer the round trip to a zone takes than that within the own zone.
+    /// Returns how much longer a round trip to a zone takes than one within the own zone, in
+    /// microseconds.
     pub(super) fn extra_us(&self, index: ZoneIndex) -> f64 {
         if index == ZoneIndex::OWN {
             return 0.0;
@@ -75,7 +76,8 @@
         }
     }
 
-    /// Returns the least extra time to another zone.
+    /// Returns the least extra round-trip time to another zone in microseconds; infinite if there
+    /// is none.
     pub(super) fn least_extra_us(&self) -> f64 {
         let mut least_us = f64::INFINITY;
         for index in 1..self.zones.len() {
--- a/src/routing/expected_time.rs
+++ b/src/routing/expected_time.rs
@@ -9,28 +9,28 @@
 
 /// The time in the queue when all slots are in use, in service times. It includes the delay that the
 /// request causes to those after it.
-const QUEUE_WEIGHT: f64 = 3.0;
-/// The factor between a target's service time and the usual one from which on the target counts as
-/// slow, so that another zone is used.
+const FULL_QUEUE_SERVICE_TIMES: f64 = 3.0;
+/// The ratio of a target's service time to the usual one above which the target counts as slow, so
+/// that other zones are used.
 const SLOW_FACTOR: f64 = 2.0;
 /// The time without an answer, in service times, after which a target counts as stalled.
-const SILENT_FACTOR: f64 = 3.0;
-/// The age of a report, in service times, at which the difference between the reported number of
-/// requests and the mean one falls to a share of 1/e.
-const REPORT_MEMORY: f64 = 0.25;
+const STALL_SERVICE_TIMES: f64 = 3.0;
+/// The age of a report, in service times, after which 1/e is left of the difference between the
+/// reported number of requests and the mean of the reported ones.
+const REPORT_MEMORY_SERVICE_TIMES: f64 = 0.25;
 /// The time in which a reported queue halves without a new report, so that a target that was full is
 /// used again.
 const QUEUE_HALF_LIFE_US: f64 = 2_000_000.0;
-/// The maximum age of a report in [`ExpectedTime::response_delay_us`].
+/// The maximum age of a report in [`ExpectedTime::feedback_delay_us`].
 const REPORT_AGE_MAX_US: f64 = 1_000_000.0;
 
-/// Which number of requests at a target is assumed.
+/// Which estimate of the number of requests at a target is used.
 #[derive(Clone, Copy, PartialEq, Eq)]
-pub(super) enum Basis {
-    /// The last reported one.
+pub(super) enum LoadEstimate {
+    /// The latest reported number.
     Latest,
-    /// One that approaches the mean of the reported ones with the age of the last report. Targets
-    /// of a zone are compared by it, as the lower of two old reports is often an outdated one.
+    /// A number that approaches the mean of the reported ones with the age of the latest report.
+    /// Targets of a zone are compared by it, since the lower of two old reports is often outdated.
     Smoothed,
 }
 
@@ -58,13 +58,13 @@
         kind: WorkKind,
         typical_us: Option<f64>,
         distance_us: f64,
-        basis: Basis,
+        estimate: LoadEstimate,
     ) -> Self {
         let service_us = target.kind_time_us(now_us, kind, typical_us).max(1.0);
         let limit = f64::from(target.limit().max(1));
         let exponent = queue_exponent(limit);
-        let occupancy = expected_requests(target, now_us, limit, service_us, basis) / limit;
-        let queue_us = service_us * queue_rounds(occupancy, exponent);
+        let occupancy = expected_requests(target, now_us, limit, service_us, estimate) / limit;
+        let queue_us = service_us * queue_service_times(occupancy, exponent);
         let rate_wait_us = target.rate_wait_us(now_us) as f64;
         Self {
             service_us,
@@ -93,7 +93,7 @@
     /// Returns the share of the limit in use at which a target of the own zone with the usual
     /// service time has the same delay.
     pub(super) fn equivalent_occupancy(&self) -> f64 {
-        let full_us = QUEUE_WEIGHT * self.usual_us;
+        let full_us = FULL_QUEUE_SERVICE_TIMES * self.usual_us;
         (self.delay_us() / full_us).powf(1.0 / self.exponent)
     }
 
@@ -102,8 +102,8 @@
         1.0 / self.exponent
     }
 
-    /// Returns the time after which a change of the requests that are sent shows in the reports.
-    pub(super) fn response_delay_us(&self) -> f64 {
+    /// Returns the time after which a change in the sent requests shows in the reports.
+    pub(super) fn feedback_delay_us(&self) -> f64 {
         self.service_us + self.report_age_us.min(REPORT_AGE_MAX_US)
     }
 }
@@ -114,7 +114,7 @@
     now_us: u64,
     limit: f64,
     service_us: f64,
-    basis: Basis,
+    estimate: LoadEstimate,
 ) -> f64 {
     let sent = f64::from(target.sent_since_report());
     let Some(reported) = target.reported_requests() else {
@@ -122,39 +122,39 @@
         return sent * limit;
     };
     let age_us = target.report_age_us(now_us);
-    let estimated = match basis {
-        Basis::Latest => reported.latest,
-        Basis::Smoothed => {
-            let kept = (-age_us / (REPORT_MEMORY * service_us)).exp();
+    let requests = match estimate {
+        LoadEstimate::Latest => reported.latest,
+        LoadEstimate::Smoothed => {
+            let kept = (-age_us / (REPORT_MEMORY_SERVICE_TIMES * service_us)).exp();
             reported.mean + (reported.latest - reported.mean) * kept
         }
     };
-    let queued = (estimated - limit).max(0.0);
+    let queued = (requests - limit).max(0.0);
     let queued_kept = match queued > 0.0 {
         true => queued * 0.5_f64.powf(age_us / QUEUE_HALF_LIFE_US),
         false => 0.0,
     };
-    estimated.min(limit) + queued_kept + sent + 1.0
+    requests.min(limit) + queued_kept + sent + 1.0
 }
 
-/// Returns the exponent of the occupancy in the mean queue of a system with many servers and random
-/// arrivals (Sakasegawa).
+/// Returns the exponent of the occupancy in the mean queue length of a system with as many servers
+/// and random arrivals, by Sakasegawa's approximation.
 fn queue_exponent(limit: f64) -> f64 {
     (2.0 * (limit + 1.0)).sqrt()
 }
 
-/// Returns the time in the queue in service times.
-fn queue_rounds(occupancy: f64, exponent: f64) -> f64 {
+/// Returns the time in the queue, in service times.
+fn queue_service_times(occupancy: f64, exponent: f64) -> f64 {
     let before_full = occupancy.min(1.0).powf(exponent);
     let queued = exponent * (occupancy - 1.0).max(0.0);
-    QUEUE_WEIGHT * (before_full + queued)
+    FULL_QUEUE_SERVICE_TIMES * (before_full + queued)
 }
 
-/// Returns how long an answer to this daemon is overdue.
+/// Returns for how long an answer to this daemon is overdue, in microseconds.
 fn overdue_us(target: &Target, now_us: u64, service_us: f64) -> f64 {
     let Some(silent_us) = target.silent_us(now_us) else {
         return 0.0;
     };
     let usual_us = service_us.max(target.decayed_latency_us(now_us));
-    (silent_us as f64 - SILENT_FACTOR * usual_us).max(0.0)
+    (silent_us as f64 - STALL_SERVICE_TIMES * usual_us).max(0.0)
 }
