Correct two statements on fair shares and split the water level's search

The age at which a reported factor may be evicted was described as the age from which it is ignored; factors decay and are never ignored. The bisection for the water level is a method of its own, with the same arithmetic in the same order.

--- a/src/calls/guard/fair.rs
+++ b/src/calls/guard/fair.rs
@@ -7,14 +7,15 @@
 use crate::request::{LoadReport, PeerCall};
 use crate::routes::{self, Routes};
 
-/// An organisation that sent a request, and what its entry daemon knew.
-pub(super) struct KeyedArrival {
+/// The organisation that sent a request, and the basis on which its entry daemon did not shed it.
+pub(super) struct OrganisationRequest {
     organisation: OrganisationName,
     basis: ShedBasis,
 }
 
-impl KeyedArrival {
-    /// Returns what is known of a call; `None` if it is never shed or carries no key.
+impl OrganisationRequest {
+    /// Returns the organisation and the basis of a call; `None` if it carries no key or its entry
+    /// daemon never sheds it.
     pub(super) fn of_call(call: &PeerCall) -> Option<Self> {
         Some(Self {
             organisation: call.principal.as_ref()?.organisation.clone(),
@@ -27,15 +28,15 @@
     /// Records the first attempt of an organisation's request, which stands also for the requests
     /// that its entry daemon sheds.
     pub(super) fn record_offered(&mut self, context: &mut Context<'_>, call: &PeerCall) {
-        let Some(keyed) = KeyedArrival::of_call(call).filter(|_| !call.is_repeat) else {
+        let Some(sender) = OrganisationRequest::of_call(call).filter(|_| !call.is_repeat) else {
             return;
         };
-        let offered = 1.0 / (1.0 - keyed.basis.shed_share());
-        let quota_per_s = quota_per_s(context, &keyed.organisation);
+        let offered = 1.0 / (1.0 - sender.basis.shed_share());
+        let quota_per_s = quota_per_s(context, &sender.organisation);
         self.fair_shares.record_arrival(
             context.now_us(),
-            &keyed.organisation,
-            keyed.basis.request.priority,
+            &sender.organisation,
+            sender.basis.request.priority,
             offered,
             quota_per_s,
         );
@@ -46,21 +47,21 @@
         &mut self,
         context: &mut Context<'_>,
         route: Option<&RouteName>,
-        keyed: Option<&KeyedArrival>,
+        sender: Option<&OrganisationRequest>,
     ) -> LoadReport {
         let load = self.load(context, route);
-        let Some(keyed) = keyed else {
+        let Some(sender) = sender else {
             return load;
         };
         let request = ArrivingRequest {
             is_client_retry: false,
-            ..keyed.basis.request
+            ..sender.basis.request
         };
         let pressure = f64::from(load.pressure_permille) / 1_000.0;
         let admitted = 1.0 - pressure::shed_share(pressure, request);
         let fair_permille = self.fair_shares.factor_permille(
             context.now_us(),
-            &keyed.organisation,
+            &sender.organisation,
             request.priority,
             admitted,
         );
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -1,6 +1,6 @@
 //! Finishes requests at the guard: determines the verdict and replies to everyone who waits for it.
 
-use super::fair::KeyedArrival;
+use super::fair::OrganisationRequest;
 use super::{Guard, GuardCall, Stage};
 use crate::admission::{self, Admission, CallOutcome};
 use crate::calls;
@@ -124,9 +124,9 @@
         if guard_call.is_abandoned {
             return;
         }
-        let keyed = KeyedArrival::of_call(&guard_call.peer_call);
+        let sender = OrganisationRequest::of_call(&guard_call.peer_call);
         let route = guard_call.peer_call.route.as_ref();
-        let load = self.load_for_call(context, route, keyed.as_ref());
+        let load = self.load_for_call(context, route, sender.as_ref());
         let guard_us = context.now_us().saturating_sub(guard_call.arrived_us);
         let reply = PeerReply {
             verdict,
--- a/src/calls/guard/shed.rs
+++ b/src/calls/guard/shed.rs
@@ -3,7 +3,7 @@
 use rand::RngExt;
 
 use super::Guard;
-use super::fair::KeyedArrival;
+use super::fair::OrganisationRequest;
 use crate::ids::CallKey;
 use crate::kernel::Context;
 use crate::pressure;
@@ -19,9 +19,9 @@
     ) -> Option<Refusal> {
         let peer_call = &self.calls.get(&key)?.peer_call;
         let basis = peer_call.shed_basis?;
-        let keyed = KeyedArrival::of_call(peer_call);
+        let sender = OrganisationRequest::of_call(peer_call);
         let route = peer_call.route.clone();
-        let load = self.load_for_call(context, route.as_ref(), keyed.as_ref());
+        let load = self.load_for_call(context, route.as_ref(), sender.as_ref());
         let pressure = f64::from(load.pressure_permille) / 1_000.0;
         let share = pressure::missed_share(pressure, basis, load.fair_permille);
         if share == 0.0 || !context.fork_rng().random_bool(share) {
--- a/src/fairness.rs
+++ b/src/fairness.rs
@@ -38,7 +38,7 @@
 /// The change of the admitted share upon which the water level is computed at once.
 const LEVEL_SHARE_STEP: f64 = 0.02;
 
-/// The halvings of the interval in which the water level is searched.
+/// The number of bisection steps of the search for the water level.
 const LEVEL_STEPS: usize = 24;
 
 /// The water level of the organisations of one priority.
@@ -49,19 +49,20 @@
     admitted: f64,
     /// The admitted rate of an organisation for each unit of its weight.
     level: f64,
-    /// The factor from usual rates to the unit of quotas.
-    usual_weight: f64,
+    /// The weight of an organisation without a quota, for each request per second of its usual
+    /// rate.
+    weight_per_usual_rate: f64,
 }
 
 /// Estimates the offered rates of organisations at a guard, and decides on their shares.
 #[derive(Default)]
 pub struct FairShares {
-    classes: SortedMap<Priority, Class>,
+    classes: SortedMap<Priority, PriorityClass>,
 }
 
 /// The organisations that send requests of one priority.
 #[derive(Default)]
-struct Class {
+struct PriorityClass {
     flows: SortedMap<OrganisationName, Flow>,
     level: Option<WaterLevel>,
 }
@@ -77,7 +78,9 @@
         offered: f64,
         quota_per_s: Option<f64>,
     ) {
-        let class = self.classes.get_or_insert_with(priority, Class::default);
+        let class = self
+            .classes
+            .get_or_insert_with(priority, PriorityClass::default);
         let is_short = class.level.is_some_and(|level| level.admitted < 1.0);
         if let Some(flow) = class.flow_or_insert(now_us, organisation) {
             flow.record(now_us, offered, is_short);
@@ -85,9 +88,9 @@
         }
     }
 
-    /// Returns the ratio of an organisation's admitted share to that of all requests of its priority,
-    /// of which a share from 0 to 1 is admitted. The ratio is higher than needed to admit all of its
-    /// requests if it sends less than its share.
+    /// Returns the ratio of an organisation's admitted share to `admitted`, the admitted share of
+    /// all requests of its priority, from 0 to 1. The ratio is higher than needed to admit all of
+    /// its requests if it sends less than its share.
     pub fn factor(
         &mut self,
         now_us: u64,
@@ -95,7 +98,9 @@
         priority: Priority,
         admitted: f64,
     ) -> f64 {
-        let class = self.classes.get_or_insert_with(priority, Class::default);
+        let class = self
+            .classes
+            .get_or_insert_with(priority, PriorityClass::default);
         let level = class.current_level(now_us, admitted);
         let flow = class.flows.get(organisation);
         let Some(flow) = flow.filter(|_| 0.0 < admitted && admitted < 1.0) else {
@@ -117,7 +122,7 @@
     }
 }
 
-impl Class {
+impl PriorityClass {
     /// Returns the flow of an organisation; `None` if there are too many others.
     fn flow_or_insert(
         &mut self,
@@ -152,12 +157,12 @@
             computed_us: now_us,
             admitted,
             level: f64::MAX,
-            usual_weight: 1.0,
+            weight_per_usual_rate: 1.0,
         };
         if admitted >= 1.0 {
             return water;
         }
-        water.usual_weight = self.usual_weight(now_us);
+        water.weight_per_usual_rate = self.weight_per_usual_rate(now_us);
         let mut demands = Vec::new();
         let (mut offered_sum, mut level_max) = (0.0, 0.0_f64);
         for flow in self.flows.values() {
@@ -167,24 +172,13 @@
             offered_sum += offered;
             level_max = level_max.max(offered / weight);
         }
-        let (mut low, mut high) = (0.0, level_max);
-        for _ in 0..LEVEL_STEPS {
-            water.level = (low + high) / 2.0;
-            let mut admitted_sum = 0.0;
-            for (offered, weight) in &demands {
-                admitted_sum += offered * water.share_of(*offered, *weight);
-            }
-            match admitted_sum < admitted * offered_sum {
-                true => low = water.level,
-                false => high = water.level,
-            }
-        }
+        water.search(&demands, admitted * offered_sum, level_max);
         water
     }
 
-    /// Returns the factor from usual rates to the unit of quotas, by the organisations that have
-    /// both; 1 if none has a quota.
-    fn usual_weight(&self, now_us: u64) -> f64 {
+    /// Returns the ratio of quotas to usual rates, over the organisations that have a quota; 1 if
+    /// none has. It scales usual rates to weights that are comparable with quotas.
+    fn weight_per_usual_rate(&self, now_us: u64) -> f64 {
         let (mut quotas, mut usual) = (0.0, 0.0);
         for flow in self.flows.values() {
             let Some(quota_per_s) = flow.quota_per_s else {
@@ -198,9 +192,26 @@
 }
 
 impl WaterLevel {
+    /// Sets the level, of at most `level_max`, at which the admitted rates add up to a sum.
+    /// `demands` has the offered rate and the weight of each organisation.
+    fn search(&mut self, demands: &[(f64, f64)], admitted_sum_per_s: f64, level_max: f64) {
+        let (mut low, mut high) = (0.0, level_max);
+        for _ in 0..LEVEL_STEPS {
+            self.level = (low + high) / 2.0;
+            let mut sum_per_s = 0.0;
+            for (offered_per_s, weight) in demands {
+                sum_per_s += offered_per_s * self.share_of(*offered_per_s, *weight);
+            }
+            match sum_per_s < admitted_sum_per_s {
+                true => low = self.level,
+                false => high = self.level,
+            }
+        }
+    }
+
     fn weight(&self, now_us: u64, flow: &Flow) -> f64 {
         flow.quota_per_s
-            .unwrap_or_else(|| flow.usual_per_s(now_us) * self.usual_weight)
+            .unwrap_or_else(|| flow.usual_per_s(now_us) * self.weight_per_usual_rate)
     }
 
     /// Returns the share of an organisation's requests that the level admits, above 1 if it admits
--- a/src/fairness/flow.rs
+++ b/src/fairness/flow.rs
@@ -68,12 +68,13 @@
         self.rate_of(now_us, self.offered)
     }
 
-    /// Returns the rate that is estimated without the latest request. At the time of a request the
-    /// other estimate is too high by that request.
+    /// Returns the estimated rate without the latest request, for a decision on that request: right
+    /// after it was recorded, [`Self::offered_per_s`] is too high.
     pub(super) fn offered_before_latest_per_s(&self, now_us: u64) -> f64 {
         self.rate_of(now_us, self.offered - self.latest)
     }
 
+    /// Returns the estimated rate for a decayed count of requests.
     fn rate_of(&self, now_us: u64, requests: f64) -> f64 {
         let age_s = seconds_between(self.updated_us, now_us);
         let requests = requests * decay(age_s, OFFERED_TIME_S);
@@ -86,7 +87,7 @@
         }
     }
 
-    /// Returns the mean rate since the organisation is known, over some minutes at most.
+    /// Returns the mean rate since the first request, decaying by [`USUAL_TIME_S`].
     pub(super) fn usual_per_s(&self, now_us: u64) -> f64 {
         let age_s = seconds_between(self.updated_us, now_us);
         let requests = self.usual * decay(age_s, USUAL_TIME_S);
--- a/src/fairness/reported.rs
+++ b/src/fairness/reported.rs
@@ -4,14 +4,15 @@
 use crate::ids::{OrganisationName, RouteName};
 use crate::sorted::SortedMap;
 
-/// The time in which a reported factor comes halfway to its value without reports.
+/// The half-life of the difference between a reported factor and its value without reports.
 const FACTOR_HALF_LIFE_US: f64 = 1_000_000.0;
 
 /// The minimum weight of a new report in the mean of an organisation's factor.
 const REPORT_WEIGHT_MIN: f64 = 0.3;
 
-/// The age after which a report is ignored.
-const FORGET_US: u64 = 5_000_000;
+/// The age of the latest report after which a factor may be evicted. After these five
+/// half-lives it has little effect.
+const EVICTED_AFTER_US: u64 = 5_000_000;
 
 /// The maximum number of factors that are kept.
 const FACTORS_MAX: usize = 4_096;
@@ -29,9 +30,9 @@
         0.5_f64.powf(age_us / FACTOR_HALF_LIFE_US)
     }
 
-    /// Returns the factor, which fades to another without reports.
-    fn factor_at(&self, now_us: u64, faded: f64) -> f64 {
-        faded + (self.factor - faded) * self.age_weight(now_us)
+    /// Returns the factor, which decays towards `baseline` with the age of the latest report.
+    fn factor_at(&self, now_us: u64, baseline: f64) -> f64 {
+        baseline + (self.factor - baseline) * self.age_weight(now_us)
     }
 }
 
@@ -70,7 +71,7 @@
         }
         if before.is_none() && self.organisations.len() >= FACTORS_MAX {
             self.organisations
-                .retain(|_, reported| now_us < reported.reported_us + FORGET_US);
+                .retain(|_, reported| now_us < reported.reported_us + EVICTED_AFTER_US);
             if self.organisations.len() >= FACTORS_MAX {
                 return;
             }
