Describe each constant of the learned limit by itself

One comment stood for two constants in seven places, so the second had none. The decision to begin a trial is a function of its own, and pools of levels are a struct instead of a tuple. The order of the steps is as before.

--- a/src/admission/concurrency.rs
+++ b/src/admission/concurrency.rs
@@ -46,8 +46,8 @@
     /// Returns the limit on the calls that start now.
     fn current(&self) -> u32;
 
-    /// Returns the limit that is reported: without a trial of another limit that lasts only a few
-    /// calls.
+    /// Returns the limit for load reports, the gauge and estimates of waits: the current one, or
+    /// for a limit with short trials the one outside them.
     fn settled(&self) -> u32 {
         self.current()
     }
--- a/src/admission/efficiency.rs
+++ b/src/admission/efficiency.rs
@@ -13,14 +13,14 @@
 
 /// The maximum number of kinds of work; calls of further kinds are ignored.
 const KINDS_MAX: usize = 8;
-/// Levels below this are single numbers of calls; above, a level spans up to a part in
-/// `LEVELS_PER_OCTAVE` of its number of calls.
+/// The number of levels between a number of concurrent calls and its double, for large numbers.
+/// Below twice this number each number of calls is a level.
 const LEVELS_PER_OCTAVE: u32 = 32;
 /// The number of calls in a cell at which all its sums are halved, so that it follows changes.
 const CELL_CALLS_MAX: f64 = 1_024.0;
 /// The minimum number of calls in a cell whose mean is compared with new calls.
 const COMPARED_CALLS_MIN: f64 = 384.0;
-/// The number of rounds in which the times of the kinds and the efficiencies are fitted.
+/// The number of rounds in which the times of the kinds and the efficiencies are fitted in turn.
 const FIT_ROUNDS: usize = 6;
 
 /// The calls of one kind at one level.
@@ -142,8 +142,8 @@
         longest_us
     }
 
-    /// Returns the efficiencies of the levels with at least `calls_min` calls, by ascending concurrency; they do
-    /// not rise.
+    /// Returns the efficiencies of the levels with at least `calls_min` calls, by ascending
+    /// concurrency. They do not rise with it.
     pub(super) fn fit(&self, calls_min: f64) -> Vec<LevelEfficiency> {
         let mut kind_times_us = vec![1.0; self.kinds.len()];
         let mut efficiencies = vec![1.0; self.seen_us.len()];
@@ -185,34 +185,28 @@
 
     /// Pools adjacent levels until the efficiency does not rise with the concurrency.
     fn pool(&self, kind_times_us: &[f64], calls_min: f64) -> Vec<LevelEfficiency> {
-        let mut pools: Vec<(Work, Vec<u32>)> = Vec::new();
+        let mut pools: Vec<Pool> = Vec::new();
         for level in 0..self.seen_us.len() {
             let work = self.work_at(level, kind_times_us);
             if work.calls < calls_min {
                 continue;
             }
-            let mut last = (work, vec![highest_of(level).min(self.slots)]);
+            let mut last = Pool {
+                work,
+                concurrencies: vec![highest_of(level).min(self.slots)],
+            };
             while let Some(mut before) = pools.pop() {
-                if before.0.efficiency() >= last.0.efficiency() {
+                if before.work.efficiency() >= last.work.efficiency() {
                     pools.push(before);
                     break;
                 }
-                before.0.merge(last.0);
-                before.1.append(&mut last.1);
+                before.work.merge(last.work);
+                before.concurrencies.append(&mut last.concurrencies);
                 last = before;
             }
             pools.push(last);
         }
-        let mut levels = Vec::new();
-        for (work, pooled) in pools {
-            let efficiency = work.efficiency();
-            levels.extend(pooled.into_iter().map(|concurrency| LevelEfficiency {
-                concurrency,
-                efficiency,
-                calls: work.calls,
-            }));
-        }
-        levels
+        pools.iter().flat_map(Pool::levels).collect()
     }
 }
 
@@ -229,11 +223,13 @@
     }
 }
 
-/// The work at some levels.
+/// The calls at one level or several, over all kinds of work.
 #[derive(Clone, Copy, Default)]
 struct Work {
     calls: f64,
+    /// The good answers, each by the fitted time of its kind.
     useful_us: f64,
+    /// The slot time that the calls took.
     time_us: f64,
 }
 
@@ -249,6 +245,25 @@
     }
 }
 
+/// Adjacent levels that share one efficiency.
+struct Pool {
+    work: Work,
+    /// The highest number of concurrent calls of each level.
+    concurrencies: Vec<u32>,
+}
+
+impl Pool {
+    fn levels(&self) -> impl Iterator<Item = LevelEfficiency> {
+        self.concurrencies
+            .iter()
+            .map(|concurrency| LevelEfficiency {
+                concurrency: *concurrency,
+                efficiency: self.work.efficiency(),
+                calls: self.work.calls,
+            })
+    }
+}
+
 /// Returns the level of a number of concurrent calls.
 fn level_of(concurrency: u32) -> usize {
     let octave = (concurrency / LEVELS_PER_OCTAVE).max(1).ilog2();
--- a/src/admission/learned.rs
+++ b/src/admission/learned.rs
@@ -15,22 +15,29 @@
 const DECISION_CALLS: u32 = 32;
 /// The share of those calls that must have ended at the limit, for a trial to begin.
 const SATURATED_PERCENT: u32 = 50;
-/// The standard error of the mean time in a trial, from which the number of its calls follows.
+/// The standard error of the mean time in a trial, relative to that mean, that determines the
+/// number of its calls.
 const TRIAL_STANDARD_ERROR: f64 = 0.08;
-/// The minimum and maximum number of calls that a trial waits for.
+/// The minimum number of calls that a trial waits for.
 const TRIAL_CALLS_MIN: f64 = 16.0;
+/// The maximum number of calls that a trial waits for.
 const TRIAL_CALLS_MAX: f64 = 256.0;
-/// The same for a trial of a lower limit, which wastes slots for as long as it lasts.
+/// The minimum number of calls that a trial of a lower limit waits for.
 const LOWER_TRIAL_CALLS_MIN: u32 = 32;
+/// The maximum number of calls that a trial of a lower limit waits for. It is less than for a
+/// higher limit, because slots are unused for as long as the trial lasts.
 const LOWER_TRIAL_CALLS_MAX: u32 = 96;
-/// The maximum of the number of calls from which a level counts.
-const LEVEL_CALLS_MAX: u32 = 32;
-/// The minimum duration of a trial of a lower limit, as a multiple of its mean service time: this,
-/// and more with the variance of the times. Shorter ones would see mostly short calls.
+/// The maximum of the number of calls that a level needs to be taken into account.
+const LEVEL_CALLS_NEEDED_MAX: u32 = 32;
+/// The minimum duration of a trial of a lower limit, as a multiple of its mean service time. In a
+/// shorter one mostly short calls would end.
 const LOWER_TRIAL_SERVICE_TIMES: f64 = 1.3;
+/// The multiple of the mean service time by which that duration is longer for each unit of the
+/// variance of the times.
 const LOWER_TRIAL_VARIANCE_SERVICE_TIMES: f64 = 2.5;
-/// The maximum duration of a trial: this, or a multiple of the longest mean service time.
+/// The maximum duration of a trial, unless that in service times is longer.
 const TRIAL_MAX_US: u64 = 1_000_000;
+/// The maximum duration of a trial, as a multiple of the longest mean service time.
 const TRIAL_MAX_SERVICE_TIMES: f64 = 6.0;
 /// The ratio of goodputs from which another level is tried.
 const TRIED_GAIN: f64 = 1.03;
@@ -44,29 +51,30 @@
 const HIGHER_STEP_PERCENT: u32 = 4;
 /// The efficiency in a trial of a higher limit, over that at the limit, below which it fails.
 const HIGHER_EFFICIENCY_MIN: f64 = 0.87;
-/// The minimum time between trials of a higher limit that fail; and as a multiple of the longest
-/// mean service time.
+/// The minimum time after a failed trial of a higher limit until the next one.
 const HIGHER_PAUSE_US: u64 = 2_000_000;
+/// The same as a multiple of the longest mean service time.
 const HIGHER_PAUSE_SERVICE_TIMES: f64 = 60.0;
 /// The same as a multiple of the duration of the trial that failed.
 const HIGHER_PAUSE_TRIALS: u64 = 20;
-/// How long a level is known after its last call; and as a multiple of the longest mean service
-/// time.
+/// The time since its last call for which a level is known, unless that in service times is longer.
 const KNOWN_US: u64 = 30_000_000;
+/// The same as a multiple of the longest mean service time.
 const KNOWN_SERVICE_TIMES: f64 = 400.0;
-/// The target is taken for stalled if no answer came for this time plus this multiple of the
-/// longest mean service time.
+/// The time without an answer after which the target counts as stalled, in addition to that in
+/// service times.
 const STALL_GAP_US: u64 = 20_000;
+/// The same as a multiple of the longest mean service time.
 const STALL_GAP_SERVICE_TIMES: f64 = 1.5;
 /// The minimum concurrency at which a gap between answers shows a stall.
 const STALL_CONCURRENCY_MIN: u32 = 8;
-/// The maximum time since the last answer for which failed calls are put down to a stall.
+/// The maximum time since the last answer for which failed calls are attributed to a stall.
 const STALL_MAX_US: u64 = 1_000_000;
 
 /// The time after a change of the speed in which no ends are counted, and after a trial in which no
 /// times are compared, as a multiple of the mean time.
 const UNCOUNTED_SERVICE_TIMES: f64 = 2.5;
-/// The number of calls over which the mean time is taken.
+/// The number of calls over which the moving average of the time of a call is taken.
 const MEAN_CALLS: f64 = 32.0;
 
 /// A trial of another limit.
@@ -97,6 +105,7 @@
     speed_change: SpeedChange,
     window: Window,
     trial: Option<Trial>,
+    /// The longest mean service time over the kinds of work.
     longest_kind_us: f64,
     last_answer_us: u64,
     /// Calls that started earlier are not counted.
@@ -109,6 +118,8 @@
     mean_us: f64,
     next_higher_trial_us: u64,
     next_trial_us: u64,
+    /// The step of the next trial of a higher limit, in calls; 0 if a series of trials has not
+    /// begun.
     higher_step: u32,
 }
 
@@ -224,7 +235,7 @@
         trial.calls >= calls_needed && running_us as f64 >= mean_us * service_times
     }
 
-    /// Ends a trial, moves the limit and begins the next trial if the limit is reached.
+    /// Ends a trial, moves the limit and starts the next trial if the limit is reached.
     fn decide(&mut self, now_us: u64) {
         let window = std::mem::take(&mut self.window);
         let trial = self.trial.take();
@@ -232,7 +243,7 @@
         self.table
             .forget_unseen_since(now_us.saturating_sub(known_us));
         self.longest_kind_us = self.table.longest_kind_us();
-        let calls_min = (self.trial_calls() / 2).min(LEVEL_CALLS_MAX);
+        let calls_min = (self.trial_calls() / 2).min(LEVEL_CALLS_NEEDED_MAX);
         let levels = self.table.fit(f64::from(calls_min));
         if levels.is_empty() {
             return;
@@ -245,10 +256,14 @@
             self.end_higher_trial(now_us, &trial, &levels);
         }
         let is_saturated = window.at_limit_calls * 100 >= window.calls * SATURATED_PERCENT;
-        if !is_saturated || now_us < self.next_trial_us {
-            return;
+        if is_saturated && now_us >= self.next_trial_us {
+            self.start_trial(now_us, &levels);
         }
-        let Some(limit) = self.choose_trial(now_us, &levels) else {
+    }
+
+    /// Starts a trial if another limit could be better.
+    fn start_trial(&mut self, now_us: u64, levels: &[LevelEfficiency]) {
+        let Some(limit) = self.choose_trial(now_us, levels) else {
             return;
         };
         self.trial = Some(Trial {
@@ -314,8 +329,8 @@
             .or_else(|| self.choose_higher(now_us))
     }
 
-    /// Returns a level below all known ones, unless even a target that slowed down as much as
-    /// assumed would not reach a goodput there.
+    /// Returns a level below all known ones, unless its goodput could not exceed `tried_goodput`
+    /// even if the highest known one is slowed down by [`SLOWDOWN_MAX`].
     fn choose_lower(&self, levels: &[LevelEfficiency], tried_goodput: f64) -> Option<u32> {
         let lowest = levels.first()?;
         let highest = levels.last()?;
@@ -341,14 +356,18 @@
 }
 
 /// Returns the level of a concurrency, or the next lower known one, so that a limit that is not
-/// reached stays; the lowest if there is none. There must be a level.
+/// reached stays; the lowest known one if there is none.
+///
+/// # Panics
+///
+/// Panics if there is no level.
 fn level_at(concurrency: u32, levels: &[LevelEfficiency]) -> LevelEfficiency {
     let is_reached = |level: &&LevelEfficiency| level.concurrency <= concurrency;
     *levels.iter().rfind(is_reached).unwrap_or(&levels[0])
 }
 
-/// Returns the middle of the two adjacent known levels between which the goodput could be highest,
-/// if it could exceed a goodput.
+/// Returns the middle of the two adjacent known levels between which the goodput could be highest;
+/// `None` if it could not exceed `tried_goodput` between any.
 fn choose_between(levels: &[LevelEfficiency], tried_goodput: f64) -> Option<u32> {
     let mut chosen = None;
     let mut chosen_goodput = tried_goodput;
--- a/src/admission/speed_change.rs
+++ b/src/admission/speed_change.rs
@@ -2,17 +2,19 @@
 
 use super::efficiency::Sample;
 
-/// The numbers of calls after which the times are compared; the last one starts anew.
+/// The numbers of calls after which the times are compared; after the last one the count starts
+/// anew.
 const COMPARED_CALLS: [u32; 4] = [64, 128, 256, 512];
 /// The minimum change of the time per good answer, as a ratio.
 const CHANGE_MIN: f64 = 1.15;
 /// The minimum change as a multiple of its standard error.
 const STANDARD_ERRORS_MIN: f64 = 4.0;
-/// The number of calls on which the times before are based, in the standard error.
+/// The number of calls on which the earlier mean times are assumed to be based, for the standard
+/// error.
 const CALLS_BEFORE: f64 = 512.0;
 
-/// The variance of the ratios until it was measured.
-const VARIANCE_FIRST: f64 = 0.25;
+/// The variance of the ratios that is assumed until it was measured.
+const VARIANCE_INITIAL: f64 = 0.25;
 
 /// The calls since the last comparison, each by the ratio of its time to the time before.
 pub(super) struct SpeedChange {
@@ -27,7 +29,7 @@
 impl Default for SpeedChange {
     fn default() -> Self {
         Self {
-            variance: VARIANCE_FIRST,
+            variance: VARIANCE_INITIAL,
             calls: 0,
             good: 0.0,
             ratio_sum: 0.0,
@@ -43,8 +45,8 @@
         self.variance
     }
 
-    /// Records a call with the mean time per good answer of such calls before; returns whether the
-    /// speed changed. The count starts anew then.
+    /// Records a call with the earlier mean time per good answer of such calls; returns whether the
+    /// speed changed. The count then starts anew.
     pub(super) fn record(&mut self, sample: Sample, time_before_us: Option<f64>) -> bool {
         let Some(time_before_us) = time_before_us else {
             return false;
