--- a/src/retry/service_budgets.rs
+++ b/src/retry/service_budgets.rs
@@ -4,9 +4,9 @@
 //! Each daemon bounds its own repeats, so that the sum over all daemons is bounded without any
 //! coordination.
 //!
-//! Where a service gets both direct requests of callers and calls of targets, a part of the share is
-//! reserved for direct requests. It is a share of all arrivals at the service, which guards report;
-//! each daemon may spend as much of it as it sent of the direct requests.
+//! Where a service gets both direct requests of callers and calls of targets, a part of the share
+//! is reserved for direct requests. The reserve is a share of all arrivals at the service, which
+//! guards report. A daemon may spend the part of it that equals its part of all direct requests.
 
 use macro_rules_attribute::apply;
 
@@ -121,8 +121,8 @@
         budget.reports.record(slice, guard, arrivals);
     }
 
-    /// Spends one repeat of the budget; returns false if none is left. The part that is reserved for
-    /// direct requests is not used.
+    /// Spends one repeat of the part that is not reserved for direct requests; returns false if
+    /// none is left.
     #[must_use]
     pub fn spend(&mut self, now_us: u64, service: &ServiceName) -> bool {
         let settings = self.settings.clone();
@@ -177,7 +177,8 @@
     /// Returns the repeats that are allowed in the current window, without the reserved part.
     ///
     /// Without a reserve they are a share of the peak of recent windows, otherwise of the current
-    /// window alone, so that the sum with the reserved repeats stays within the share of all requests.
+    /// window alone, so that the sum with the reserved repeats stays within the share of all
+    /// requests.
     fn shared_repeats(&self, slice: u64, settings: &ServiceBudgetSettings) -> u32 {
         let percent = settings.repeats_percent;
         let requests = self.counts.peak_requests();
@@ -193,8 +194,8 @@
     /// Returns the repeats of direct requests that are allowed in the current window out of the
     /// reserved part.
     ///
-    /// The direct requests are counted over the window in which they were fewest among those that the
-    /// report may describe. Summed over all daemons they are therefore no more than the guards
+    /// The direct requests are counted over the window in which they were fewest, among those that
+    /// the report may describe. Summed over all daemons they are therefore no more than the guards
     /// counted, whatever changed since the report.
     fn reserved_repeats(&self, slice: u64, settings: &ServiceBudgetSettings) -> u32 {
         let Some(ratio) = self.reports.all_per_direct(slice) else {
--- a/src/retry/slices.rs
+++ b/src/retry/slices.rs
@@ -1,15 +1,16 @@
-//! Counts over sliding windows, kept as a ring buffer of slices.
+//! Counts of requests and repeats over sliding windows, in a ring buffer of slices.
 
 /// The number of slices into which a window is divided for counting.
 pub(super) const SLICES_PER_WINDOW: usize = 10;
 
-/// The number of slices by which the window that a guard's report describes may be older than the
-/// current one: the report's maximum age, and one for slices that are out of step.
-pub(super) const REPORT_LAG_SLICES: usize = REPORT_AGE_SLICES_MAX as usize + 1;
-
 /// The age in slices from which on a report is ignored.
 pub(super) const REPORT_AGE_SLICES_MAX: u64 = 3;
 
+/// The number of slices by which the window that a guard's report describes may be older than the
+/// current one: the report's maximum age, and one because the slices of two daemons begin at
+/// different times.
+pub(super) const REPORT_LAG_SLICES: usize = REPORT_AGE_SLICES_MAX as usize + 1;
+
 /// The number of slices that are kept: those of the current window and of the window that ended
 /// before it and before the oldest report.
 const SLICES_KEPT: usize = 2 * SLICES_PER_WINDOW + REPORT_LAG_SLICES;
@@ -25,6 +26,7 @@
 /// The counts of one slice of the window.
 #[derive(Clone, Copy, Default)]
 pub(super) struct SliceCounts {
+    /// All requests.
     pub(super) requests: u32,
     /// The direct requests of callers.
     pub(super) directs: u32,
@@ -55,7 +57,7 @@
         &mut self.slices[(self.current_slice % SLICES_KEPT as u64) as usize]
     }
 
-    /// Returns the counts of one whole window that ended some slices ago.
+    /// Returns the counts of the window that ended `slices_ago` slices ago; 0 is the current one.
     pub(super) fn sum(&self, slices_ago: usize) -> SliceCounts {
         let mut sum = SliceCounts::default();
         for ago in slices_ago..slices_ago + SLICES_PER_WINDOW {
