--- a/src/admission.rs
+++ b/src/admission.rs
@@ -2,8 +2,7 @@
 //! queue or are refused.
 //!
 //! Under overload it keeps the target at its concurrency limit and at the rate that the target
-//! names, sheds the lowest ranks first and
-//! refuses calls that would probably miss their deadline.
+//! names, sheds the lowest ranks first and refuses calls that would probably miss their deadline.
 
 mod concurrency;
 mod efficiency;
--- a/src/calls/entry/finish.rs
+++ b/src/calls/entry/finish.rs
@@ -40,7 +40,7 @@
                 organisation: routed
                     .principal
                     .as_ref()
-                    .map(|one| one.organisation.clone()),
+                    .map(|principal| principal.organisation.clone()),
                 inputs,
             });
         }
--- a/src/calls/entry/retries.rs
+++ b/src/calls/entry/retries.rs
@@ -66,8 +66,8 @@
 
     /// Sends the request to a target that was not attempted yet, or to the issuer of its ticket. If
     /// the router refuses and only the link failed, or the call may try the same target again, any
-    /// target is allowed. If there is still
-    /// none, the call finishes with the verdict of the latest attempt.
+    /// target is allowed. If there is still none, the call finishes with the verdict of the latest
+    /// attempt.
     fn send_retry(
         &mut self,
         context: &mut Context<'_>,
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -133,7 +133,7 @@
                 .peer_call
                 .principal
                 .as_ref()
-                .map(|one| one.organisation.clone()),
+                .map(|principal| principal.organisation.clone()),
             inputs,
         });
     }
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -58,8 +58,8 @@
     ///
     /// Once a request was sent, its verdict may be `NotRun` only if the target's outcome proves
     /// that it did not run. If its deadline has passed, the target has been leaving for too long, its
-    /// key was withdrawn or the request is quarantined, it is refused instead. If its ticket became void, only its slot is released; the
-    /// run-once service decides on it.
+    /// key was withdrawn or the request is quarantined, it is refused instead. If its ticket became
+    /// void, only its slot is released; the run-once service decides on it.
     pub(super) fn send(&mut self, context: &mut Context<'_>, key: CallKey) {
         let now_us = context.now_us();
         let refusal = self
