Give doc comments of rates, shares and settings their units and reference points

Several named neither the unit nor the time from which a duration counts, and two shares were described without saying what they are shares of. Comments only.

--- a/src/admission/efficiency.rs
+++ b/src/admission/efficiency.rs
@@ -29,6 +29,7 @@
     calls: f64,
     /// The calls that were answered before their deadline.
     good: f64,
+    /// The sum of the times of all calls.
     time_us: f64,
 }
 
--- a/src/fairness/flow.rs
+++ b/src/fairness/flow.rs
@@ -25,11 +25,14 @@
 pub(super) struct Flow {
     /// The quota in requests per second, if there is one.
     pub(super) quota_per_s: Option<f64>,
+    /// When the organisation's first request arrived.
     since_us: u64,
     updated_us: u64,
+    /// The offered requests, decaying by [`OFFERED_TIME_S`].
     offered: f64,
     /// The number of requests for which the latest one stands.
     latest: f64,
+    /// The requests that count in the usual rate, decaying by [`USUAL_TIME_S`].
     usual: f64,
 }
 
--- a/src/pressure/shed.rs
+++ b/src/pressure/shed.rs
@@ -64,9 +64,9 @@
     }
 }
 
-/// Returns the share of such requests of an organisation that is shed: that of all such requests, with
-/// the admitted share multiplied by the factor of the organisation, in thousandths. Nothing is shed
-/// of any organisation where nothing is shed of all.
+/// Returns the share of such requests of an organisation that is shed: the admitted share of all
+/// such requests is multiplied by `fair_permille`, the factor of the organisation in thousandths.
+/// Nothing is shed where the pressure alone sheds nothing.
 pub fn fair_shed_share(pressure: f64, request: ArrivingRequest, fair_permille: u16) -> f64 {
     let share = shed_share(pressure, request);
     if share == 0.0 || fair_permille == NEUTRAL_PERMILLE {
@@ -101,9 +101,10 @@
 /// The difference of an organisation's factor from which on an entry daemon counts as not informed.
 const FACTOR_OUTDATED_BY_PERMILLE: u16 = 100;
 
-/// Returns the share of such requests to shed beside the target if the entry daemon is not informed
-/// of the pressure or of the organisation's factor, so that together with what it shed it is the share
-/// at the present pressure and factor, which is in thousandths.
+/// Returns the share of such requests to shed beside the target if the entry daemon was not
+/// informed of the present pressure or of the organisation's factor, `fair_permille` in
+/// thousandths. Together with what the entry daemon shed, it is the share that is shed at the
+/// present values.
 ///
 /// The pressure travels with replies. Where requests wait so long that no reply comes in time, entry
 /// daemons would otherwise not learn of it.
--- a/src/quota/settings.rs
+++ b/src/quota/settings.rs
@@ -7,11 +7,12 @@
 /// Settings of quotas.
 #[apply(settings!)]
 pub struct QuotaSettings {
-    /// How long a granted token may be used, from the time at which it was asked for.
+    /// How long a granted token may be used, counted from when the request for it was sent.
     pub lease_ms: u32,
     /// How long a request waits for its token; at most a third of its remaining time.
     pub wait_max_ms: u32,
-    /// The time for whose expected requests tokens are asked for ahead, while they are not short.
+    /// The time for whose expected requests tokens are requested ahead; they are granted only while
+    /// tokens are not short.
     pub ahead_ms: u32,
     /// The timeout of a request to an owner or a lender.
     pub ask_timeout_ms: u32,
@@ -22,12 +23,12 @@
     /// The time between two requests of an owner to the same lender; at most half of `loan_ms`, so
     /// that one may be lost.
     pub renew_ms: u32,
-    /// How long a daemon that starts lends nothing; at least `loan_ms`, since the process before it
+    /// How long a daemon that starts lends nothing; at least `loan_ms`, since its former process
     /// may have lent its share.
     pub settle_ms: u32,
-    /// As `settle_ms`, towards the daemon that comes first as the owner among all known ones, absent
-    /// ones included; counts from the latest appearance of a further daemon. The process before it
-    /// has lent to that owner too, unless it was absent then.
+    /// As `settle_ms`, but for loans to the daemon with the highest rendezvous hash among all known
+    /// ones, absent ones included; counts from when an address was last added. The former process
+    /// has lent to that owner too, unless the owner was absent then.
     pub settle_first_ms: u32,
     /// As `settle_ms`, if the daemon knows of no other.
     pub alone_ms: u32,
--- a/src/retry/origins.rs
+++ b/src/retry/origins.rs
@@ -10,8 +10,8 @@
 /// The maximum number of guards whose reports are kept for each service.
 const GUARDS_MAX: usize = 64;
 
-/// The maximum ratio of all arrivals to direct ones that is used. It bounds what the few direct
-/// requests of one daemon may spend.
+/// The maximum ratio of all arrivals to direct ones that is used. It bounds the repeats that a
+/// daemon may spend for each direct request.
 const RATIO_MAX: f64 = 100.0;
 
 /// For how many slices after the latest report of direct arrivals a service counts as mixed. Longer
--- a/src/routing/target.rs
+++ b/src/routing/target.rs
@@ -17,8 +17,8 @@
 
 /// The weight of a new latency in the moving average.
 const LATENCY_WEIGHT: f64 = 0.1;
-/// The latency that is assumed for a target that has not answered yet. A mean
-/// latency doesn't decay below it, and a lower one doesn't decay at all.
+/// The latency that is assumed for a target that has not answered yet. A mean latency does not
+/// decay below it, and a lower one does not decay at all.
 const LATENCY_INITIAL_US: f64 = 1_000.0;
 /// The factor by which a mean latency decays over [`LATENCY_DECAY_US`] without a new sample.
 const LATENCY_DECAY_FACTOR: f64 = 0.5;
@@ -232,7 +232,8 @@
         self.latency_sampled_us = now_us;
     }
 
-    /// Returns the age of the last report, or the time since the target was ready without one.
+    /// Returns the age of the last report in microseconds, or the time since the target was ready
+    /// if there is no report.
     pub(super) fn report_age_us(&self, now_us: u64) -> f64 {
         let received_us = self.report.as_ref().map(|report| report.received_us);
         now_us.saturating_sub(received_us.unwrap_or(self.ready_since_us)) as f64
@@ -259,8 +260,8 @@
         self.sent_since_report.min(self.in_flight)
     }
 
-    /// Returns the time for which none of the requests in flight has ended; `None` if none is in
-    /// flight.
+    /// Returns the time in microseconds for which none of the requests in flight has ended; `None`
+    /// if none is in flight.
     pub(super) fn silent_us(&self, now_us: u64) -> Option<u64> {
         (self.in_flight > 0).then(|| now_us.saturating_sub(self.silent_since_us))
     }
@@ -359,7 +360,8 @@
         (time_us + rate_wait_us) * self.failure_factor(now_us)
     }
 
-    /// Returns the service time of a kind of work, of all work if its typical time is not known.
+    /// Returns the service time of a kind of work in microseconds, or that of all work if the
+    /// typical time of the kind is not known.
     pub(super) fn kind_time_us(&self, now_us: u64, kind: WorkKind, typical_us: Option<f64>) -> f64 {
         match typical_us {
             Some(typical_us) => self.kind_times.time_us(now_us, kind, typical_us),
@@ -378,7 +380,8 @@
         u64::from(self.slots)
     }
 
-    /// Returns the number of slots in thousandths, only the share of slow start without a report.
+    /// Returns the number of slots in thousandths, multiplied by the slow-start share until the
+    /// first report arrives.
     pub(super) fn slots_permille(&self, now_us: u64, settings: &RoutingSettings) -> u64 {
         if self.report.is_some() {
             return self.slots() * 1_000;
