Correct what counts as having read the member list

The comment named any read of the platform's table; only a table without other daemons counts (Membership::has_read_members). Comment only; nothing was run.

--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -206,7 +206,8 @@
         addresses
     }
 
-    /// Records that the member list was read from the platform's table or from a peer.
+    /// Records that the member list was read from a peer, or that the platform's table names no other
+    /// daemon.
     pub fn record_members_read(&mut self) {
         self.has_read_members = true;
     }
