--- a/src/quota/owner.rs
+++ b/src/quota/owner.rs
@@ -112,7 +112,7 @@
     /// short.
     ///
     /// The time of the next token is told once the first loans, with one retry, should have
-    /// arrived, or once the bucket holds [`READY_PART`] of the rate.
+    /// arrived, or once the bucket holds `READY_PART` of the rate.
     pub fn grant(
         &mut self,
         now_us: u64,
@@ -184,7 +184,7 @@
             .add_share(now_us, loan.lender, expires_us, lenders, free_ms);
     }
 
-    /// Returns whether any bucket holds less than [`READY_PART`] of the rate.
+    /// Returns whether any bucket holds less than `READY_PART` of the rate.
     pub fn is_short_of_shares(&mut self, now_us: u64) -> bool {
         let mut buckets = self.owned.values_mut().map(|owned| &mut owned.bucket);
         buckets.any(|bucket| bucket.held_part(now_us) < READY_PART)
--- a/src/quota/view.rs
+++ b/src/quota/view.rs
@@ -184,7 +184,7 @@
         absent
     }
 
-    /// Returns up to [`ASKED_MAX`] daemons to ask for the absent ones while this daemon starts.
+    /// Returns up to `ASKED_MAX` daemons to ask for the absent ones while this daemon starts.
     /// Each is asked once, and all again if none has answered.
     pub fn next_to_ask(&mut self, now_us: u64) -> Vec<SocketAddr> {
         let mut addresses = Vec::new();
