--- a/src/quota/lender.rs
+++ b/src/quota/lender.rs
@@ -78,7 +78,7 @@
         }
     }
 
-    /// Forgets the loans that ended more than [`FREE_MAX_US`] ago.
+    /// Forgets the loans that ended more than `FREE_MAX_US` ago.
     pub fn forget(&mut self, now_us: u64) {
         self.loans
             .retain(|_, loan| loan.expires_us + FREE_MAX_US > now_us);
