--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -565,6 +565,8 @@
 pub struct Run {
     pub id: String,
     pub began_s: f64,
+    /// When the upstream answered it or dropped it; `None` if it is still at work.
+    pub ended_s: Option<f64>,
 }
 
 /// An upstream: it runs requests for some time, answers them with a digest and a body whose size the
@@ -666,9 +668,14 @@
             }
             self.at_work.fetch_add(1, Ordering::SeqCst);
             let began_s = self.record.seconds();
-            self.runs.lock().unwrap().push(Run { id: id.clone(), began_s });
+            let index = {
+                let mut runs = self.runs.lock().unwrap();
+                runs.push(Run { id: id.clone(), began_s, ended_s: None });
+                runs.len() - 1
+            };
             self.record.line(&format!("{} runs {id} ({} bytes)", self.instance, body.length));
             let is_kept = self.work(reader.get_ref());
+            self.runs.lock().unwrap()[index].ended_s = Some(self.record.seconds());
             self.at_work.fetch_sub(1, Ordering::SeqCst);
             if !is_kept {
                 self.record.line(&format!("{} drops {id}: its connection closed", self.instance));
