--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -582,9 +582,30 @@
     pub at_work: AtomicUsize,
     /// The number of answers that were sent completely.
     pub answered: AtomicUsize,
+    /// What it calls while it runs a request, if anything.
+    pub nested: Mutex<Option<Nested>>,
+    /// The calls that it made.
+    pub nested_calls: Mutex<Vec<NestedCall>>,
     record: Arc<Record>,
 }
 
+/// The call that an upstream makes while it runs a request, after the time that it works first.
+#[derive(Clone)]
+pub struct Nested {
+    pub outbound: SocketAddr,
+    pub path: String,
+}
+
+/// A call that an upstream made.
+#[derive(Clone, Debug)]
+pub struct NestedCall {
+    pub id: String,
+    pub sent_s: f64,
+    pub ended_s: f64,
+    pub deadline_s: f64,
+    pub outcome: Outcome,
+}
+
 impl Upstream {
     pub fn start(ip: IpAddr, service: &str, slots: usize, work_ms: u64, record: &Arc<Record>) -> Arc<Self> {
         let listener = TcpListener::bind((ip, 0)).expect("an upstream cannot listen");
@@ -598,6 +619,8 @@
             runs: Mutex::default(),
             at_work: AtomicUsize::new(0),
             answered: AtomicUsize::new(0),
+            nested: Mutex::new(None),
+            nested_calls: Mutex::default(),
             record: Arc::clone(record),
         });
         let served = Arc::clone(&upstream);
@@ -675,12 +698,20 @@
             };
             self.record.line(&format!("{} runs {id} ({} bytes)", self.instance, body.length));
             let is_kept = self.work(reader.get_ref());
+            let left_ms = head.get("deadline-ms").and_then(|text| text.parse().ok()).unwrap_or(5_000);
+            let succeeded = is_kept && self.call_nested(&id, began_s, left_ms);
             self.runs.lock().unwrap()[index].ended_s = Some(self.record.seconds());
             self.at_work.fetch_sub(1, Ordering::SeqCst);
             if !is_kept {
                 self.record.line(&format!("{} drops {id}: its connection closed", self.instance));
                 return None;
             }
+            if !succeeded {
+                let response = format!("HTTP/1.1 500 Failed\r\nRequest-Id: {id}\r\nResponse-Seal: {}.0\r\nContent-Length: 0\r\n\r\n", self.instance);
+                writer.write_all(response.as_bytes()).ok()?;
+                self.record.line(&format!("{} answered {id} with 500: its call failed", self.instance));
+                continue;
+            }
             let length = answer_length(head.target());
             let content = content_of(&id, length);
             let digest = hash(HASH_START, &content);
@@ -700,6 +731,35 @@
         }
     }
 
+    /// Makes the call that belongs to a request; returns whether it succeeded, or there is none.
+    fn call_nested(&self, id: &str, began_s: f64, left_ms: u64) -> bool {
+        let Some(nested) = self.nested.lock().unwrap().clone() else {
+            return true;
+        };
+        let sent_s = self.record.seconds();
+        let spent_ms = ((sent_s - began_s) * 1_000.0) as u64;
+        let request = ClientRequest {
+            method: "GET",
+            path: nested.path,
+            id: format!("call-of-{id}"),
+            deadline_ms: left_ms.saturating_sub(spent_ms),
+            body: Body::None,
+        };
+        self.record.line(&format!("{} calls {} with {} ms", self.instance, request.id, request.deadline_ms));
+        let outcome = call_once(nested.outbound, &request);
+        let ended_s = self.record.seconds();
+        self.record.line(&format!("{}: {} ended: {outcome:?}", self.instance, request.id));
+        let is_served = outcome.is_served();
+        self.nested_calls.lock().unwrap().push(NestedCall {
+            id: request.id,
+            sent_s,
+            ended_s,
+            deadline_s: sent_s + request.deadline_ms as f64 / 1_000.0,
+            outcome,
+        });
+        is_served
+    }
+
     /// Works for the set time; returns false if the connection closed meanwhile.
     fn work(&self, stream: &TcpStream) -> bool {
         let until = Instant::now() + Duration::from_millis(self.work_ms.load(Ordering::SeqCst));
@@ -1000,6 +1060,34 @@
         self.child.lock().unwrap().as_ref().map(Child::id)
     }
 
+    /// Asks for readiness once a second, as the platform does, until the program ends.
+    pub fn probe(self: &Arc<Self>) {
+        let machine = Arc::clone(self);
+        thread::spawn(move || {
+            let mut was_ready = true;
+            loop {
+                let is_ready = plain(machine.ready, "GET", "/ready", "") == Some(200);
+                if is_ready != was_ready {
+                    machine.record.line(&format!("{}: ready {is_ready}", machine.name));
+                }
+                was_ready = is_ready;
+                thread::sleep(Duration::from_secs(1));
+            }
+        });
+    }
+
+    /// Tells the process to stop, as the platform does.
+    pub fn terminate(&self) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        const SIGTERM: i32 = 15;
+        if let Some(id) = self.process_id().and_then(|id| i32::try_from(id).ok()) {
+            // SAFETY: `kill` takes no pointers; the process is a child that was not waited for.
+            unsafe { kill(id, SIGTERM) };
+        }
+    }
+
     /// Kills the process and waits for its end.
     pub fn kill(&self) {
         if let Some(mut child) = self.child.lock().unwrap().take() {
