--- /dev/null
+++ b/review/5/run.sh
@@ -0,0 +1,2 @@
+#!/bin/bash
+. "$(dirname "$0")/../common/run-case.sh" 5
