--- a/review/5/main.rs
+++ b/review/5/main.rs
@@ -1,36 +1,51 @@
-//! A daemon reads 16 KiB ahead of the requests that it runs for a connection. Behind that it does
-//! not see that the client closed the connection: upstreams work on, and get further requests.
+//! The store comes back from an older copy and gives versions out again. Daemons go on reading changes
+//! after a version of before, and miss a config for good.
 
 #[path = "../common/standins.rs"]
 #[allow(dead_code)]
 mod standins;
 
-use std::io::{BufReader, Write};
 use std::path::Path;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use standins::*;
 
-/// The time that a request takes at an upstream.
-const WORK_MS: u64 = 1_500;
+/// How old the copy is, and how long the store is away.
+const COPY_AGE: Duration = Duration::from_secs(4);
+const AWAY: Duration = Duration::from_millis(1_500);
 
-/// The clients, and the requests that each sends ahead on its connection.
-const CLIENTS: usize = 20;
-const REQUESTS_EACH: usize = 24;
+/// `config_apply`, `outer` and `stable` in the settings. Requests count that are sent later than all of
+/// them together after the ack.
+const CONFIG_APPLY_S: f64 = 2.0;
+const OUTER_S: f64 = 5.0;
+const STABLE_S: f64 = 3.0;
 
-/// The size of a cookie that the clients send; the config allows heads of 16,384 bytes.
-const COOKIE_BYTES: usize = 3_000;
+/// How long requests are judged after that.
+const JUDGED_S: f64 = 40.0;
 
-/// When the clients that give up leave, and the share of them.
-const LEAVE_AFTER_MS: u64 = 300;
-const LEAVING_PERCENT: usize = 30;
+struct Sent {
+    id: String,
+    sent_s: f64,
+    outcome: Outcome,
+}
 
-/// A client that left.
-struct Left {
-    client: usize,
-    closed_s: f64,
+/// Writes a config whose route goes to a service.
+fn write_version(store: &Store, version: u32, service: &str) {
+    let routes = [
+        Route { prefix: "/dates/", kind: "safe", timeout_ms: 2_000, target_latency_ms: 1_000, priority: 1, service },
+    ];
+    write_config(store, version, &routes, &["old-calendar", "calendar", "new-calendar", "portal"]);
+}
+
+/// The upstreams write their rows.
+fn write_upstreams(store: &Store, machines: &[Arc<Machine>]) {
+    for machine in machines {
+        let instance = &machine.upstream.instance;
+        store.put("servers", instance, &format!("{{\"service\":{}}}", quote(&machine.upstream.service)));
+    }
 }
 
 fn main() {
@@ -39,11 +54,10 @@
     let (folder, scratch) = (Path::new(&folder), Path::new(&scratch));
     let record = Record::create(folder);
     let store = Store::start(machine_ip(200));
-    let routes = [Route { prefix: "/pens/", kind: "safe", timeout_ms: 8_000, target_latency_ms: 2_000, priority: 1, service: "pens" }];
-    write_config(&store, 3, &routes, &["pens", "portal"]);
+    write_version(&store, 3, "old-calendar");
     let mut machines = Vec::new();
-    for (number, service) in [(1, "portal"), (2, "pens"), (3, "pens"), (4, "pens"), (5, "pens")] {
-        let upstream = Upstream::start(machine_ip(number), service, 300, WORK_MS, &record);
+    for (number, service) in [(1, "old-calendar"), (2, "calendar"), (3, "new-calendar"), (4, "portal"), (5, "portal")] {
+        let upstream = Upstream::start(machine_ip(number), service, 100, 20, &record);
         let machine = Machine::new(number, scratch, &store, upstream, &record);
         machine.run();
         machine.upstream.report(machine.control, "zone-a");
@@ -52,90 +66,80 @@
     for machine in &machines {
         machine.wait_until_ready();
     }
-    thread::sleep(Duration::from_secs(4));
+    thread::sleep(Duration::from_secs(8));
 
-    // Each client sends its requests at once; with the disruption, some leave a little later.
-    let leaving = if has_trouble() { CLIENTS * LEAVING_PERCENT / 100 } else { 0 };
-    record.say(&format!(
-        "{CLIENTS} clients send {REQUESTS_EACH} requests each; {leaving} of them leave after {LEAVE_AFTER_MS} ms"
-    ));
-    let left: Arc<Mutex<Vec<Left>>> = Arc::default();
-    let served = Arc::new(Mutex::new(0));
+    // Clients on both machines of `portal`: ten requests a second each.
+    let ends = Arc::new(AtomicBool::new(false));
+    let traffic: Arc<Mutex<Vec<Sent>>> = Arc::default();
     let mut clients = Vec::new();
-    for client in 0..CLIENTS {
-        let outbound = machines[0].outbound;
-        let (left, served, record) = (Arc::clone(&left), Arc::clone(&served), Arc::clone(&record));
+    for machine in &machines[3..] {
+        let (ends, traffic, record, outbound) = (Arc::clone(&ends), Arc::clone(&traffic), Arc::clone(&record), machine.outbound);
+        let name = machine.name.clone();
         clients.push(thread::spawn(move || {
-            let Some(stream) = connect(outbound) else { return };
-            let cookie = "c".repeat(COOKIE_BYTES);
-            let mut text = String::new();
-            for number in 0..REQUESTS_EACH {
-                text.push_str(&format!(
-                    "GET /pens/200/x HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: pens-{client}-{number}\r\nDeadline-Ms: 8000\r\nCookie: {cookie}\r\n\r\n"
-                ));
-            }
-            if (&stream).write_all(text.as_bytes()).is_err() {
-                return;
-            }
-            record.line(&format!("client {client} sent its requests"));
-            if client < leaving {
-                thread::sleep(Duration::from_millis(LEAVE_AFTER_MS));
-                drop(stream);
-                let closed_s = record.seconds();
-                record.line(&format!("client {client} closed its connection"));
-                left.lock().unwrap().push(Left { client, closed_s });
-                return;
-            }
-            let _ = stream.set_read_timeout(Some(Duration::from_secs(9)));
-            let mut reader = BufReader::new(&stream);
-            for number in 0..REQUESTS_EACH {
-                let Ok(Some(head)) = read_head(&mut reader) else { return };
-                if read_body(&mut reader, &head).is_err() {
+            for number in 0.. {
+                if ends.load(Ordering::SeqCst) {
                     return;
                 }
-                let is_own = head.get("request-id") == Some(format!("pens-{client}-{number}").as_str());
-                record.line(&format!("client {client}: answer {number}: {}, own: {is_own}", head.status()));
-                *served.lock().unwrap() += usize::from(head.status() == 200 && is_own);
+                let id = format!("{name}-{number}");
+                let sent_s = record.seconds();
+                let request = ClientRequest { method: "GET", path: "/dates/100/x".into(), id: id.clone(), deadline_ms: 2_000, body: Body::None };
+                let outcome = call_once(outbound, &request);
+                record.line(&format!("client: {id}: {outcome:?}"));
+                traffic.lock().unwrap().push(Sent { id, sent_s, outcome });
+                thread::sleep(Duration::from_millis(100));
             }
         }));
     }
+
+    // The upstreams write their rows, and the operator a version. A little later the store is away,
+    // and what was written since the copy is lost, written again, and followed by a further version.
+    write_upstreams(&store, &machines);
+    write_version(&store, 4, "calendar");
+    record.say(&format!("the operator wrote r4 (to `calendar`), at version {} of the store", store.version()));
+    thread::sleep(Duration::from_secs(3));
+    if has_trouble() {
+        record.say(&format!("drill: the store is away for {AWAY:?} and comes back from a copy {COPY_AGE:?} old"));
+        store.drill(COPY_AGE, AWAY, |store| {
+            record.say(&format!("the copy has version {} of the store", store.version()));
+            write_version(store, 4, "calendar");
+            write_version(store, 5, "new-calendar");
+            record.say(&format!("the operator wrote r4 again, and r5 (to `new-calendar`) at version {} of the store", store.version()));
+            write_upstreams(store, &machines);
+            record.say(&format!("the upstreams wrote their rows again, up to version {} of the store", store.version()));
+        });
+    } else {
+        thread::sleep(AWAY);
+        write_version(&store, 5, "new-calendar");
+        record.say(&format!("the operator wrote r5 (to `new-calendar`), at version {} of the store", store.version()));
+    }
+    let acked_s = record.seconds();
+    let from_s = acked_s + CONFIG_APPLY_S + OUTER_S + STABLE_S;
+    thread::sleep(Duration::from_secs_f64(from_s - acked_s + JUDGED_S));
+    ends.store(true, Ordering::SeqCst);
     for client in clients {
         let _ = client.join();
     }
-    thread::sleep(Duration::from_secs(4));
 
-    // The judgement: requests of clients that had left, at upstreams half a second later.
-    let (mut arrived, mut still_at_work, mut would_have_lasted) = (0, 0, 0);
-    for left in left.lock().unwrap().iter() {
-        let prefix = format!("pens-{}-", left.client);
-        for machine in &machines {
-            for run in machine.upstream.runs.lock().unwrap().iter() {
-                if !run.id.starts_with(&prefix) {
-                    continue;
-                }
-                let limit_s = left.closed_s + 0.5;
-                if run.began_s > limit_s {
-                    arrived += 1;
-                    continue;
-                }
-                // Only what would have lasted so long counts.
-                if run.began_s < left.closed_s && run.began_s + WORK_MS as f64 / 1_000.0 > limit_s {
-                    would_have_lasted += 1;
-                    let ended_s = run.ended_s.unwrap_or(f64::INFINITY);
-                    still_at_work += usize::from(ended_s > limit_s);
-                }
-            }
+    // The judgement: which service ran the requests that were sent later than the bound.
+    let (mut by_older, mut by_newest, mut count) = (0, 0, 0);
+    for sent in traffic.lock().unwrap().iter() {
+        if sent.sent_s < from_s {
+            continue;
         }
+        count += 1;
+        by_older += usize::from(machines[..2].iter().any(|machine| machine.upstream.has_run(&sent.id)));
+        by_newest += usize::from(machines[2].upstream.has_run(&sent.id) && sent.outcome.is_served());
     }
-    record.say(&format!("{} answers to the clients that stayed", served.lock().unwrap()));
-    record.say(&format!("{arrived} requests reached an upstream over 0.5 s after their client had closed its connection"));
-    record.say(&format!("upstreams were still at work on {still_at_work} of {would_have_lasted} requests 0.5 s after that"));
+    record.say(&format!(
+        "of {count} requests sent over {:.0} s after the ack of r5, {by_older} were run by the service of r4 and {by_newest} by that of r5",
+        from_s - acked_s
+    ));
     for machine in &machines {
         machine.kill();
     }
-    if arrived > 5 || still_at_work * 4 > would_have_lasted {
-        record.say("GONE is broken");
+    if by_older > 0 {
+        record.say("CONFIG is broken");
         std::process::exit(1);
     }
-    record.say("GONE holds");
+    record.say("CONFIG holds");
 }
--- a/review/common/standins.rs
+++ b/review/common/standins.rs
@@ -369,6 +369,24 @@
 struct Rows {
     rows: BTreeMap<RowKey, (Option<String>, u64)>,
     ver: u64,
+    /// All changes, for a return from an older copy.
+    changes: Vec<Change>,
+}
+
+#[derive(Clone)]
+struct Change {
+    at: Instant,
+    key: RowKey,
+    value: Option<String>,
+    ver: u64,
+}
+
+impl Rows {
+    fn set(&mut self, key: RowKey, value: Option<String>) {
+        let (at, ver) = (Instant::now(), self.ver);
+        self.changes.push(Change { at, key: key.clone(), value: value.clone(), ver });
+        self.rows.insert(key, (value, ver));
+    }
 }
 
 /// The platform's metadata store: rows, transactions and the feed.
@@ -377,6 +395,9 @@
     rows: Mutex<Rows>,
     changed: Condvar,
     start: Instant,
+    /// The header `Store-Era`, and whether the store is away.
+    era: AtomicU64,
+    is_away: AtomicBool,
 }
 
 impl Store {
@@ -387,10 +408,15 @@
             rows: Mutex::default(),
             changed: Condvar::new(),
             start: Instant::now(),
+            era: AtomicU64::new(1),
+            is_away: AtomicBool::new(false),
         });
         let served = Arc::clone(&store);
         thread::spawn(move || {
             for stream in listener.incoming().flatten() {
+                if served.is_away.load(Ordering::SeqCst) {
+                    continue;
+                }
                 let store = Arc::clone(&served);
                 thread::spawn(move || store.serve(stream));
             }
@@ -402,10 +428,37 @@
     pub fn put(&self, table: &str, key: &str, value: &str) {
         let mut rows = self.rows.lock().unwrap();
         rows.ver += 1;
-        let ver = rows.ver;
         let row_key = (table.to_string(), String::new(), key.to_string());
-        rows.rows.insert(row_key, (Some(base64(value.as_bytes())), ver));
+        rows.set(row_key, Some(base64(value.as_bytes())));
+        self.changed.notify_all();
+    }
+
+    /// Returns the newest version.
+    pub fn version(&self) -> u64 {
+        self.rows.lock().unwrap().ver
+    }
+
+    /// Is away for a moment and comes back from a copy some seconds old. What the operator and the
+    /// upstreams wrote is written again, by `write_again`, which is called with the tables `op` and
+    /// `servers` as they are in the copy, before anybody else is served.
+    pub fn drill(&self, copy_age: Duration, away: Duration, write_again: impl FnOnce(&Self)) {
+        let copied_at = Instant::now() - copy_age;
+        self.is_away.store(true, Ordering::SeqCst);
         self.changed.notify_all();
+        thread::sleep(away);
+        {
+            let mut rows = self.rows.lock().unwrap();
+            let kept: Vec<Change> = rows.changes.iter().filter(|change| change.at < copied_at).cloned().collect();
+            rows.rows.clear();
+            rows.ver = kept.last().map_or(0, |change| change.ver);
+            for change in &kept {
+                rows.rows.insert(change.key.clone(), (change.value.clone(), change.ver));
+            }
+            rows.changes = kept;
+        }
+        self.era.fetch_add(1, Ordering::SeqCst);
+        write_again(self);
+        self.is_away.store(false, Ordering::SeqCst);
     }
 
     fn serve(&self, stream: TcpStream) -> Option<()> {
@@ -419,14 +472,21 @@
             let (path, query) = head.target().split_once('?').unwrap_or((head.target(), ""));
             let query = parse_query(query);
             thread::sleep(Duration::from_millis(4));
+            if self.is_away.load(Ordering::SeqCst) {
+                return None;
+            }
             let (status, text) = match (head.method(), path) {
                 ("GET", "/rows-get") => self.get(&query),
                 ("GET", "/rows-feed") => self.feed(&query),
                 ("POST", "/rows-tx") => self.transact(&body),
                 _ => (404, String::new()),
             };
+            if self.is_away.load(Ordering::SeqCst) {
+                return None;
+            }
             let response = format!(
-                "HTTP/1.1 {status} x\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                "HTTP/1.1 {status} x\r\nStore-Era: {}\r\nContent-Type: application/json\r\nContent-Length: {}\r\n\r\n{text}",
+                self.era.load(Ordering::SeqCst),
                 text.len()
             );
             writer.write_all(response.as_bytes()).ok()?;
@@ -457,7 +517,13 @@
         let wait_ms: u64 = field("wait_ms").parse().unwrap_or(0);
         let deadline = Instant::now() + Duration::from_millis(wait_ms.min(30_000));
         let mut rows = self.rows.lock().unwrap();
+        if after > rows.ver {
+            return (410, self.rows_text(&[], rows.ver));
+        }
         loop {
+            if self.is_away.load(Ordering::SeqCst) {
+                return (503, String::new());
+            }
             let mut found = Vec::new();
             for (key, (value, ver)) in &rows.rows {
                 if key.0 == field("table") && *ver > after {
@@ -502,10 +568,10 @@
         let ver = rows.ver;
         for entry in entries("puts") {
             let value = entry.get("value").map(Json::text).unwrap_or_default().to_string();
-            rows.rows.insert(key_of(&entry), (Some(value), ver));
+            rows.set(key_of(&entry), Some(value));
         }
         for entry in entries("remove") {
-            rows.rows.insert(key_of(&entry), (None, ver));
+            rows.set(key_of(&entry), None);
         }
         self.changed.notify_all();
         (200, self.rows_text(&[], ver))
