Compare store versions within their epoch

Cause: a version of the store stood for "newer" on its own. The watch of the configuration went on after a version of before the restoration (12). The store had assigned that version again, so it sent no 410 and only changes after it, while the newest configuration had version 8. The same holds for conditional writes: an expected version matched a row that another writer had written under the same number.

Change: one type, RowVersion, holds the epoch and the number, for rows, expected versions, written versions and the position of the watch. Routes reads the table again when an update is of another epoch than its position; the versions of the operator's configurations still only rise. Reads after a lost history are spread over retry_ms. Why it works: a number is never compared with one of another epoch, so reuse of numbers can't hide a change.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -16,7 +16,7 @@
 use dragonflylug::request::{Answer, CallRequest, HttpRequest, RunKey};
 use dragonflylug::settings::Settings;
 use dragonflylug::sorted::SortedMap;
-use dragonflylug::table::{PlatformError, TableRequest, TableResponse};
+use dragonflylug::table::{PlatformError, RowVersion, TableRequest, TableResponse};
 use dragonflylug::target::{Announcement, AnswerSignals};
 
 /// The index of the node that accepts the call.
@@ -231,7 +231,7 @@
             TableRequest::Write { writes } => {
                 let mut versions = Vec::new();
                 for write in writes {
-                    let version = self.rows.len() as u64 + 1;
+                    let version = RowVersion::without_epoch(self.rows.len() as u64 + 1);
                     versions.push(version);
                     let Some(value) = write.value else { continue };
                     self.rows.push(dragonflylug::table::Row {
--- a/src/host/effects.rs
+++ b/src/host/effects.rs
@@ -12,7 +12,9 @@
 use crate::ids::{CallKey, OutboundKey};
 use crate::kernel::{Effect, Event, Input, StateChange};
 use crate::peer::PeerRequest;
-use crate::table::{ObjectRequest, ObjectResponse, PlatformError, TableRequest, TableResponse};
+use crate::table::{
+    ObjectRequest, ObjectResponse, PlatformError, RowVersion, TableRequest, TableResponse,
+};
 
 impl Node {
     pub(super) fn apply_effects(self: &Arc<Self>, effects: Vec<Effect>) {
@@ -139,7 +141,7 @@
     fn read_routes(
         self: &Arc<Self>,
         key: OutboundKey,
-        after: Option<u64>,
+        after: Option<RowVersion>,
         wait_ms: u32,
         timeout_us: u64,
     ) {
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -10,6 +10,7 @@
 use crate::ids::{InstanceId, ServiceName};
 use crate::kernel::{Input, Notice};
 use crate::routes::{self, Routes};
+use crate::table::RowVersion;
 use crate::target::{Announcement, ReportOutcome, TargetReport, TargetStart, TargetWatch};
 
 /// How often the sidecar checks that the target still reports.
@@ -54,7 +55,7 @@
     /// Notifies the task that probes the target.
     report_unconfirmed: Notify,
     /// The version of the row with the stored departures, if there is one.
-    pub(super) row_version: Mutex<Option<u64>>,
+    pub(super) row_version: Mutex<Option<RowVersion>>,
     /// The revision of the departures that is stored.
     pub(super) stored_revision: watch::Sender<u64>,
     /// Notifies the task that stores the departures.
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -12,7 +12,7 @@
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::request::HttpRequest;
 use crate::routes::RouteTable;
-use crate::table::{ObjectRequest, TableRequest};
+use crate::table::{ObjectRequest, RowVersion, TableRequest};
 use crate::target::{Announcement, TargetStart};
 use crate::verdict::Verdict;
 
@@ -66,7 +66,7 @@
         /// The key of the request.
         key: OutboundKey,
         /// The position after which to continue; `None` reads the current table.
-        after: Option<u64>,
+        after: Option<RowVersion>,
         /// How long the source may wait for an update.
         wait_ms: u32,
         /// The timeout of the request.
--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -7,7 +7,7 @@
 
 use super::Member;
 use crate::ids::{AvailabilityZone, MemberId};
-use crate::table::{Expected, ObjectRequest, Row, TableRequest, TableWrite};
+use crate::table::{Expected, ObjectRequest, Row, RowVersion, TableRequest, TableWrite};
 
 /// The key prefix of all members' rows.
 const ROW_PREFIX: &str = "member/";
@@ -69,7 +69,7 @@
 }
 
 /// Returns the request that deletes a row unless it was written since it was read at `version`.
-pub(super) fn delete_stale_row_request(member: &Member, version: u64) -> TableRequest {
+pub(super) fn delete_stale_row_request(member: &Member, version: RowVersion) -> TableRequest {
     row_write_request(member, Expected::Version(version), None)
 }
 
@@ -105,7 +105,7 @@
 }
 
 /// Returns the members of rows with the rows' versions, skipping rows that cannot be parsed.
-pub(super) fn row_members(rows: &[Row]) -> Vec<(Member, u64)> {
+pub(super) fn row_members(rows: &[Row]) -> Vec<(Member, RowVersion)> {
     let mut members = Vec::new();
     for row in rows {
         let Ok(member) = serde_json::from_str(&row.value) else {
--- a/src/membership/service/rows.rs
+++ b/src/membership/service/rows.rs
@@ -7,7 +7,7 @@
 use crate::kernel::{Context, StateChange};
 use crate::membership::contacts;
 use crate::sorted::SortedMap;
-use crate::table::Row;
+use crate::table::{Row, RowVersion};
 
 /// The number of rows that one scan reads.
 const ROWS_PER_SCAN: u32 = 64;
@@ -33,7 +33,7 @@
 /// A row whose daemon is not in the roster and did not respond to a probe yet.
 struct UnconfirmedRow {
     member: Member,
-    version: u64,
+    version: RowVersion,
     failed_probes: u32,
     pass: u32,
 }
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -20,7 +20,7 @@
 use crate::derives::message;
 use crate::ids::{RouteName, ServiceName};
 use crate::organisations::Principal;
-use crate::table::{BoxFuture, PlatformError};
+use crate::table::{BoxFuture, PlatformError, RowVersion};
 
 /// The name of the kernel service that keeps the route table.
 pub const NAME: &str = "routes";
@@ -28,20 +28,30 @@
 /// An update from the source of route tables.
 #[apply(message!)]
 pub struct RouteUpdate {
-    /// The position after which to continue the watch; `None` if the source no longer has its
-    /// history, so that the current table must be read again.
-    pub position: Option<u64>,
+    /// The position after which to continue the watch, in the epoch of this update; `None` if the
+    /// source no longer has its history, so that the current table must be read again.
+    pub position: Option<RowVersion>,
     /// The newest table, if there is a new one that can be decoded.
     pub table: Option<RouteTable>,
 }
 
+impl RouteUpdate {
+    /// Returns the update of a source that no longer has the history since the position.
+    pub fn history_lost() -> Self {
+        Self {
+            position: None,
+            table: None,
+        }
+    }
+}
+
 /// A source of route tables.
 pub trait RouteSource: Send + Sync {
     /// Reads the current table if `after` is `None`; otherwise waits up to `wait` for a table that
     /// is later than that position.
     fn next(
         &self,
-        after: Option<u64>,
+        after: Option<RowVersion>,
         wait: Duration,
     ) -> BoxFuture<'_, Result<RouteUpdate, PlatformError>>;
 }
@@ -52,7 +62,7 @@
 impl RouteSource for NoRouteSource {
     fn next(
         &self,
-        _: Option<u64>,
+        _: Option<RowVersion>,
         _: Duration,
     ) -> BoxFuture<'_, Result<RouteUpdate, PlatformError>> {
         Box::pin(async { Err(PlatformError::NotApplied) })
--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -17,7 +17,7 @@
 use crate::organisations::{KeyDigest, Organisations, Principal};
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::sorted::SortedMap;
-use crate::table::PlatformError;
+use crate::table::{PlatformError, RowVersion};
 
 /// Settings of the propagation of route tables.
 #[apply(settings!)]
@@ -26,7 +26,8 @@
     pub watch_ms: u32,
     /// The time beyond `watch_ms` after which the watch counts as lost.
     pub watch_slack_ms: u32,
-    /// The minimum delay before the source is read again after a first failure.
+    /// The minimum delay before the source is read again after a first failure, and the maximum one
+    /// after its history was lost.
     pub retry_ms: u32,
     /// The maximum delay before the source is read again after a failure.
     pub retry_max_ms: u32,
@@ -76,7 +77,7 @@
     lowest_keyed_priority: Option<Priority>,
     splits: TrafficSplits,
     /// The position in the source's history after which the watch continues.
-    position: Option<u64>,
+    position: Option<RowVersion>,
     failures: u32,
     pending: SortedMap<OutboundKey, RequestKind>,
     is_fetching: bool,
@@ -199,11 +200,14 @@
                     context.log(StateChange::new("routes", change, ""));
                 }
                 self.failures = 0;
-                self.position = update.position;
+                self.record_position(context, update.position);
                 if let Some(table) = update.table {
                     self.apply(context, table, "source");
                 }
-                self.watch(context);
+                match self.position {
+                    Some(_) => self.watch(context),
+                    None => self.schedule_read(context),
+                }
             }
             Err(error) => {
                 if self.failures == 0 {
@@ -220,6 +224,29 @@
         }
     }
 
+    /// Schedules a read of the current table, spread over time because all daemons may need it at
+    /// once.
+    fn schedule_read(&mut self, context: &mut Context<'_>) {
+        let delay_ms = context.rng().random_range(0..=self.settings.retry_ms);
+        context.set_timer(u64::from(delay_ms) * 1_000, TimerTag::Watch as u64);
+    }
+
+    /// Records where the watch continues. If the source was restored from an older copy, changes
+    /// before the new position may have been skipped, so the table is read again.
+    fn record_position(&mut self, context: &mut Context<'_>, position: Option<RowVersion>) {
+        let is_same_epoch = match (self.position, position) {
+            (Some(before), Some(after)) => before.epoch == after.epoch,
+            _ => true,
+        };
+        self.position = position.filter(|_| is_same_epoch);
+        if !is_same_epoch {
+            let change = "the route source was restored; reading the table again";
+            let epoch = position.map_or(0, |position| position.epoch.0);
+            context.log(StateChange::new("routes", change, format!("epoch {epoch}")));
+            context.count(Counter::unlabelled("route_source_restorations"));
+        }
+    }
+
     /// Replaces the current table by one with a higher version, and notifies some peers of the new
     /// version so that they fetch the table.
     fn apply(&mut self, context: &mut Context<'_>, table: RouteTable, from: &str) {
--- a/src/run_once/claim.rs
+++ b/src/run_once/claim.rs
@@ -7,7 +7,7 @@
 
 use crate::derives::{message, value};
 use crate::ids::MemberId;
-use crate::table::{Expected, Row, TableWrite};
+use crate::table::{Expected, Row, RowVersion, TableWrite};
 
 /// The prefix of the keys of claim rows.
 const ROW_PREFIX: &str = "claim/";
@@ -45,10 +45,10 @@
     /// No response has confirmed an insert.
     Unknown,
     /// This daemon inserted the row, which has this version.
-    Held(u64),
+    Held(RowVersion),
     /// The row with this version is being deleted, and this daemon never runs the request
     /// under it.
-    Releasing(u64),
+    Releasing(RowVersion),
 }
 
 /// The progress of inserting or deleting a claim's row.
@@ -77,7 +77,7 @@
     }
 
     /// Returns the write that deletes the row if it still has the given version.
-    pub(super) fn delete_write(self, version: u64) -> TableWrite {
+    pub(super) fn delete_write(self, version: RowVersion) -> TableWrite {
         TableWrite {
             key: self.row_key(),
             expected: Expected::Version(version),
--- a/src/run_once/service/claim_decisions.rs
+++ b/src/run_once/service/claim_decisions.rs
@@ -8,6 +8,7 @@
 use crate::run_once::claim::{ClaimDigest, ClaimHolder, ClaimProgress, RowState};
 use crate::run_once::run::{Run, RunHandle, RunId, RunState};
 use crate::run_once::{BeginOutcome, ClaimDecision};
+use crate::table::RowVersion;
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
 
 impl RunOnce {
@@ -113,7 +114,7 @@
         &mut self,
         context: &mut Context<'_>,
         handle: RunHandle,
-        version: u64,
+        version: RowVersion,
     ) {
         if let Some(claim) = self.claim_mut(handle) {
             claim.row = RowState::Held(version);
--- a/src/table.rs
+++ b/src/table.rs
@@ -4,9 +4,65 @@
 use std::pin::Pin;
 
 use macro_rules_attribute::apply;
+use tokio::sync::watch;
 
 use crate::derives::{message, value};
 
+/// One lifetime of a store's data. A store that was restored from an older copy has lost the writes
+/// since that copy and assigns their versions again, under another epoch. 0 for a store that names
+/// no epoch.
+#[apply(value!)]
+#[derive(Default)]
+pub struct Epoch(pub u64);
+
+/// A version of a row or of a whole store. Numbers of different epochs can't be compared, since
+/// they may stand for different writes.
+#[apply(value!)]
+#[serde(from = "WireVersion", into = "WireVersion")]
+pub struct RowVersion {
+    /// The epoch of the store in which the version was read or written.
+    pub epoch: Epoch,
+    /// The number, which grows with each write within the epoch.
+    pub number: u64,
+}
+
+impl RowVersion {
+    /// Creates a version of a store that names no epoch.
+    pub fn without_epoch(number: u64) -> Self {
+        Self {
+            epoch: Epoch::default(),
+            number,
+        }
+    }
+}
+
+/// The form of a version in JSON: a number, or a number with its epoch.
+#[apply(value!)]
+#[serde(untagged)]
+enum WireVersion {
+    Number(u64),
+    Numbered { epoch: Epoch, number: u64 },
+}
+
+impl From<WireVersion> for RowVersion {
+    fn from(wire: WireVersion) -> Self {
+        match wire {
+            WireVersion::Number(number) => Self::without_epoch(number),
+            WireVersion::Numbered { epoch, number } => Self { epoch, number },
+        }
+    }
+}
+
+impl From<RowVersion> for WireVersion {
+    fn from(version: RowVersion) -> Self {
+        let RowVersion { epoch, number } = version;
+        match epoch {
+            Epoch(0) => Self::Number(number),
+            epoch => Self::Numbered { epoch, number },
+        }
+    }
+}
+
 /// A request to the table service.
 #[apply(message!)]
 #[serde(rename_all = "snake_case")]
@@ -51,8 +107,8 @@
     Any,
     /// There is no row with the key.
     Absent,
-    /// The row has this version.
-    Version(u64),
+    /// The row has this version; never true in another epoch than that of the version.
+    Version(RowVersion),
 }
 
 /// A row of the table.
@@ -60,8 +116,8 @@
 pub struct Row {
     /// The key.
     pub key: String,
-    /// The version, greater after each write of the row.
-    pub version: u64,
+    /// The version, whose number is greater after each write of the row in the same epoch.
+    pub version: RowVersion,
     /// The value.
     pub value: String,
 }
@@ -73,7 +129,7 @@
     /// The rows that were read.
     Rows(Vec<Row>),
     /// The write took effect; the new versions, in the order of the writes.
-    Written(Vec<u64>),
+    Written(Vec<RowVersion>),
     /// A precondition failed and nothing was written; the current rows of the keys.
     Conflict(Vec<Row>),
 }
@@ -125,6 +181,12 @@
     /// Executes one request.
     fn request(&self, request: TableRequest)
     -> BoxFuture<'_, Result<TableResponse, PlatformError>>;
+
+    /// Returns a receiver of the number of times that the store was seen to change its epoch; a
+    /// store without epochs never changes it.
+    fn watch_restorations(&self) -> watch::Receiver<u64> {
+        watch::channel(0).1
+    }
 }
 
 /// The platform's object store.
--- a/src/target/departure_row.rs
+++ b/src/target/departure_row.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 
 use super::Departure;
-use crate::table::{Expected, Row, TableRequest, TableWrite};
+use crate::table::{Expected, Row, RowVersion, TableRequest, TableWrite};
 
 /// The key prefix of the rows; the address of the target follows it.
 const ROW_PREFIX: &str = "departures/";
@@ -26,7 +26,7 @@
 /// there was no row.
 pub fn write_request(
     target: SocketAddr,
-    version: Option<u64>,
+    version: Option<RowVersion>,
     departures: &[Departure],
 ) -> TableRequest {
     let value = serde_json::to_string(departures).unwrap_or_default();
@@ -34,11 +34,15 @@
 }
 
 /// Returns the request that deletes the row, if it still has the version that was read.
-pub fn delete_request(target: SocketAddr, version: u64) -> TableRequest {
+pub fn delete_request(target: SocketAddr, version: RowVersion) -> TableRequest {
     change_request(target, Some(version), None)
 }
 
-fn change_request(target: SocketAddr, version: Option<u64>, value: Option<String>) -> TableRequest {
+fn change_request(
+    target: SocketAddr,
+    version: Option<RowVersion>,
+    value: Option<String>,
+) -> TableRequest {
     let write = TableWrite {
         key: row_key(target),
         expected: version.map_or(Expected::Absent, Expected::Version),
--- a/tests/organisations.rs
+++ b/tests/organisations.rs
@@ -16,6 +16,7 @@
 };
 use dragonflylug::routes::{self, Resolution, RouteTable, RouteUpdate, Routes};
 use dragonflylug::settings::Settings;
+use dragonflylug::table::RowVersion;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 use network::Network;
 use nodes::{CONVERGENCE_US, NodeSpec, add_node_with_routes, exchange};
@@ -153,7 +154,7 @@
     network.request_filter =
         Box::new(|_, _, request| !matches!(request, dragonflylug::peer::PeerRequest::Routes(_)));
     let update = RouteUpdate {
-        position: Some(2),
+        position: Some(RowVersion::without_epoch(2)),
         table: Some(newer),
     };
     network.deliver_route_update(1, update);
--- a/tests/platform.rs
+++ b/tests/platform.rs
@@ -11,8 +11,8 @@
 
 use dragonflylug::host::platform::PlatformClient;
 use dragonflylug::table::{
-    Expected, ObjectRequest, ObjectResponse, ObjectStore, PlatformError, Row, TableRequest,
-    TableResponse, TableStore, TableWrite,
+    Epoch, Expected, ObjectRequest, ObjectResponse, ObjectStore, PlatformError, Row, RowVersion,
+    TableRequest, TableResponse, TableStore, TableWrite,
 };
 use dragonflylug_standins::platform::{Counts, Fault, FaultMode, PlatformStandin};
 use tokio::runtime::Runtime;
@@ -75,10 +75,14 @@
     TableRequest::Get { keys }
 }
 
-fn row(key: &str, version: u64, value: &str) -> Row {
+fn version(number: u64) -> RowVersion {
+    RowVersion::without_epoch(number)
+}
+
+fn row(key: &str, number: u64, value: &str) -> Row {
     Row {
         key: key.into(),
-        version,
+        version: version(number),
         value: value.into(),
     }
 }
@@ -123,11 +127,11 @@
         TableResponse::Rows(vec![row("p/1", 2, "old")]),
     ),
     write_with_the_right_version => (
-        put("a", Expected::Version(1), "new"),
-        TableResponse::Written(vec![5]),
+        put("a", Expected::Version(version(1)), "new"),
+        TableResponse::Written(vec![version(5)]),
     ),
     write_with_a_stale_version => (
-        put("a", Expected::Version(9), "new"),
+        put("a", Expected::Version(version(9)), "new"),
         TableResponse::Conflict(vec![row("a", 1, "old")]),
     ),
     write_where_a_row_must_be_absent => (
@@ -135,7 +139,7 @@
         TableResponse::Conflict(vec![row("a", 1, "old")]),
     ),
     write_of_a_missing_row_by_version => (
-        put("missing", Expected::Version(1), "new"),
+        put("missing", Expected::Version(version(1)), "new"),
         TableResponse::Conflict(Vec::new()),
     ),
 }
@@ -154,7 +158,7 @@
     assert_eq!(fixture.table(get(&["a", "b"])), Ok(rows));
     let writes = vec![
         write("b", Expected::Absent, Some("2")),
-        write("a", Expected::Version(1), None),
+        write("a", Expected::Version(version(1)), None),
     ];
     fixture.table(TableRequest::Write { writes }).unwrap();
     let rows = TableResponse::Rows(vec![row("b", 2, "2")]);
@@ -332,3 +336,17 @@
     let response = runtime.block_on(TableStore::request(&client, get(&["a"])));
     assert_eq!(response, rows);
 }
+
+/// A version and its form in JSON.
+fn check_version_form((version, json): (RowVersion, &str)) {
+    assert_eq!(serde_json::to_string(&version).unwrap(), json);
+    assert_eq!(serde_json::from_str::<RowVersion>(json).unwrap(), version);
+}
+
+cases! { check_version_form:
+    version_without_an_epoch_is_a_number => (version(7), "7"),
+    version_with_an_epoch_names_it => (
+        RowVersion { epoch: Epoch(2), number: 7 },
+        r#"{"epoch":2,"number":7}"#,
+    ),
+}
--- a/tests/quota_nodes.rs
+++ b/tests/quota_nodes.rs
@@ -22,6 +22,7 @@
 use dragonflylug::settings::Settings;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 
+use dragonflylug::table::RowVersion;
 use network::Network;
 use nodes::{NodeSpec, add_node_with_routes, address, call, exchange, reply};
 use quota_bound::{
@@ -227,7 +228,7 @@
     match event {
         WhileWaiting::KeyWithdrawn => {
             let update = RouteUpdate {
-                position: Some(2),
+                position: Some(RowVersion::without_epoch(2)),
                 table: Some(table(2, &["other-key"])),
             };
             network.deliver_route_update(node, update);
--- a/tests/routes.rs
+++ b/tests/routes.rs
@@ -13,6 +13,7 @@
 
 use dragonflylug::routes::{self, Resolution, RouteUpdate, Routes};
 use dragonflylug::settings::Settings;
+use dragonflylug::table::{Epoch, RowVersion};
 use network::Network;
 use nodes::{CONVERGENCE_US, NodeSpec, add_node_with_routes};
 use rand::SeedableRng;
@@ -125,6 +126,41 @@
     assert_eq!(version(&mut network, node), 8);
 }
 
+// Guards against a watch that goes on after a position of a former epoch, and so misses a table.
+#[test]
+fn the_table_is_read_again_in_a_new_epoch_of_the_source() {
+    let mut network = Network::new(500);
+    network.route_table = Some(route_table(7, Vec::new()));
+    let node = add_node_with_routes(&mut network, &Settings::default(), &node_spec(1));
+    network.run_until(CONVERGENCE_US);
+    network.epoch = Epoch(2);
+    network.route_table = Some(route_table(8, Vec::new()));
+    let later_change = RouteUpdate {
+        position: Some(RowVersion {
+            epoch: Epoch(2),
+            number: 5,
+        }),
+        table: None,
+    };
+    network.deliver_route_update(node, later_change);
+    network.run_until(CONVERGENCE_US + 1_000_000);
+    assert_eq!(version(&mut network, node), 8);
+}
+
+// Guards against a table of a restored copy that replaces a newer one.
+#[test]
+fn a_lower_version_is_ignored_in_a_new_epoch_too() {
+    let mut network = Network::new(500);
+    network.route_table = Some(route_table(7, Vec::new()));
+    let node = add_node_with_routes(&mut network, &Settings::default(), &node_spec(1));
+    network.run_until(CONVERGENCE_US);
+    network.epoch = Epoch(2);
+    network.route_table = Some(route_table(6, Vec::new()));
+    network.deliver_route_update(node, RouteUpdate::history_lost());
+    network.run_until(CONVERGENCE_US + 1_000_000);
+    assert_eq!(version(&mut network, node), 7);
+}
+
 fn node_spec(number: u16) -> NodeSpec<'static> {
     NodeSpec {
         number,
@@ -136,7 +172,7 @@
 
 fn update_of(table: dragonflylug::routes::RouteTable) -> RouteUpdate {
     RouteUpdate {
-        position: Some(2),
+        position: Some(RowVersion::without_epoch(2)),
         table: Some(table),
     }
 }
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -20,7 +20,8 @@
 use dragonflylug::routes::{RouteTable, RouteUpdate};
 use dragonflylug::sorted::SortedMap;
 use dragonflylug::table::{
-    Expected, ObjectRequest, ObjectResponse, PlatformError, Row, TableRequest, TableResponse,
+    Epoch, Expected, ObjectRequest, ObjectResponse, PlatformError, Row, RowVersion, TableRequest,
+    TableResponse,
 };
 use dragonflylug::target::{AnswerSignals, TargetStart};
 use dragonflylug::verdict::Verdict;
@@ -161,6 +162,8 @@
     next_sequence: u64,
     next_inbound: u64,
     next_version: u64,
+    /// The epoch of the table and of the route source.
+    pub epoch: Epoch,
 }
 
 impl Network {
@@ -183,6 +186,7 @@
             next_sequence: 0,
             next_inbound: 0,
             next_version: 0,
+            epoch: Epoch::default(),
         }
     }
 
@@ -296,12 +300,12 @@
 
     /// Responds to a read of the route table. A read that waits for an update stays open until
     /// [`Network::deliver_route_update`].
-    fn read_routes(&mut self, node: usize, key: OutboundKey, after: Option<u64>) {
+    fn read_routes(&mut self, node: usize, key: OutboundKey, after: Option<RowVersion>) {
         let result = match after {
             _ if !(self.can_reach_routes)(node) => Err(PlatformError::NotApplied),
             Some(_) => return,
             None => Ok(RouteUpdate {
-                position: Some(1),
+                position: Some(self.row_version(1)),
                 table: self.route_table.clone(),
             }),
         };
@@ -634,6 +638,13 @@
         }
     }
 
+    fn row_version(&self, number: u64) -> RowVersion {
+        RowVersion {
+            epoch: self.epoch,
+            number,
+        }
+    }
+
     fn apply_table_request(&mut self, request: TableRequest) -> TableResponse {
         match request {
             TableRequest::Get { keys } => {
@@ -643,7 +654,7 @@
                     let (version, value) = read.get(key)?;
                     Some(Row {
                         key: key.clone(),
-                        version: *version,
+                        version: self.row_version(*version),
                         value: value.clone(),
                     })
                 };
@@ -667,7 +678,7 @@
                     let (key, value) = (key.clone(), value.clone());
                     rows.push(Row {
                         key,
-                        version: *version,
+                        version: self.row_version(*version),
                         value,
                     });
                 }
@@ -682,13 +693,15 @@
                     are_versions_expected &= match write.expected {
                         Expected::Any => true,
                         Expected::Absent => row.is_none(),
-                        Expected::Version(version) => row.is_some_and(|row| row.0 == version),
+                        Expected::Version(version) => {
+                            row.is_some_and(|row| self.row_version(row.0) == version)
+                        }
                     };
                     if let Some((version, value)) = row {
                         let (key, value) = (write.key.clone(), value.clone());
                         current.push(Row {
                             key,
-                            version: *version,
+                            version: self.row_version(*version),
                             value,
                         });
                     }
@@ -699,7 +712,7 @@
                 let mut versions = Vec::new();
                 for write in writes {
                     self.next_version += 1;
-                    versions.push(self.next_version);
+                    versions.push(self.row_version(self.next_version));
                     match write.value {
                         Some(value) => {
                             self.rows.insert(write.key, (self.next_version, value));
