Write rows again that a restored store may have lost

After a restoration the rows of members, of departures and of quarantines that were written in the lost seconds stayed lost: each was written once and counted as stored. A daemon that starts later would not find its peers, and not know that a target had left or that a request ends its targets.

Cause: a row that was acknowledged counted as stored whatever the epoch.

Change: the node learns of each change of the epoch from the store client and tells its services. A member writes its row again, the sidecar stores its departures again (on the version that it reads in the new epoch), and the member with the smallest identifier writes the quarantines again, each at a random time within a second, so that many daemons don't write at once.

--- a/src/config/propagation.rs
+++ b/src/config/propagation.rs
@@ -46,7 +46,8 @@
             Notice::ConfigChanged(_)
             | Notice::RoutesChanged(_)
             | Notice::TargetAnnounced(_)
-            | Notice::TargetSilent => {}
+            | Notice::TargetSilent
+            | Notice::StoreRestored => {}
         }
     }
 
--- a/src/host.rs
+++ b/src/host.rs
@@ -184,6 +184,8 @@
         self.apply_effects(effects);
         let node = Arc::clone(self);
         tokio::spawn(async move { node.run_timers().await });
+        let node = Arc::clone(self);
+        tokio::spawn(async move { node.watch_restorations().await });
     }
 
     /// Passes an input to the kernel and applies the effects that it returns.
@@ -287,6 +289,14 @@
         }
     }
 
+    /// Tells the services of each restoration of the store.
+    async fn watch_restorations(self: Arc<Self>) {
+        let mut restorations = self.adapters.table.watch_restorations();
+        while restorations.changed().await.is_ok() {
+            self.submit(Input::Notice(Notice::StoreRestored));
+        }
+    }
+
     async fn run_timers(self: Arc<Self>) {
         loop {
             let next_us = lock(&self.kernel).next_timer_us();
--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -4,10 +4,12 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use rand::RngExt;
+
 use super::TargetTracker;
 use crate::backoff::Backoff;
 use crate::host::{Clock, lock};
-use crate::table::{PlatformError, Row, TableRequest, TableResponse};
+use crate::table::{PlatformError, REWRITE_SPREAD_US, Row, TableRequest, TableResponse};
 use crate::target::Departure;
 use crate::target::departure_row::{self, ROW_INSTANCES_MAX};
 
@@ -31,8 +33,12 @@
             pause(&mut backoff).await;
         }
         backoff.reset();
+        let mut restorations = self.node.adapters.table.watch_restorations();
         loop {
-            self.departure_recorded.notified().await;
+            tokio::select! {
+                () = self.departure_recorded.notified() => {}
+                Ok(()) = restorations.changed() => self.forget_storage().await,
+            }
             while self.has_unstored_departures() {
                 match self.store_departures().await {
                     Ok(()) => backoff.reset(),
@@ -45,6 +51,14 @@
         }
     }
 
+    /// Counts all departures as not stored, because a restored store may have lost them, and waits
+    /// for a random time, since other daemons write their rows again too.
+    async fn forget_storage(&self) {
+        self.stored_revision.send_replace(0);
+        let spread_us = rand::rng().random_range(0..=REWRITE_SPREAD_US);
+        tokio::time::sleep(Duration::from_micros(spread_us)).await;
+    }
+
     /// Waits until all recorded departures are stored, or for a bounded time.
     pub(super) async fn wait_until_stored(&self) {
         let revision = lock(&self.watch).departures().revision();
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -148,6 +148,8 @@
     TargetSilent,
     /// A graceful shutdown began: no new work is accepted.
     StopRequested,
+    /// The platform's store was restored from an older copy: rows that were written since are gone.
+    StoreRestored,
     /// The process resumed after a pause: timers and link states are unreliable.
     Resumed {
         /// The time since the due time of the next timer or since the last call of the kernel,
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -179,6 +179,7 @@
             Notice::TargetSilent => self.handle_target_silence(context),
             Notice::StopRequested => self.stop(context),
             Notice::Resumed { .. } => self.handle_resume(context),
+            Notice::StoreRestored => self.schedule_row_rewrite(context),
             Notice::MemberChanged(_)
             | Notice::MemberGone(_)
             | Notice::ConfigChanged(_)
--- a/src/membership/service/joining.rs
+++ b/src/membership/service/joining.rs
@@ -12,7 +12,7 @@
 use crate::kernel::{Context, LinkError, StateChange};
 use crate::membership::contacts;
 use crate::membership::message::member_bytes;
-use crate::table::{ObjectResponse, PlatformError, Row, TableResponse};
+use crate::table::{ObjectResponse, PlatformError, REWRITE_SPREAD_US, Row, TableResponse};
 
 /// The maximum size of the members in one part of the member list.
 const LIST_PART_BYTES: usize = 8_192;
@@ -210,6 +210,16 @@
         self.set_timer(context, delay_us, Timer::WriteRow);
     }
 
+    /// Schedules another write of the own row, which a restored store may have lost.
+    pub(super) fn schedule_row_rewrite(&mut self, context: &mut Context<'_>) {
+        if !self.join.has_row {
+            return;
+        }
+        self.join.has_row = false;
+        let delay_us = context.rng().random_range(0..=REWRITE_SPREAD_US);
+        self.set_timer(context, delay_us, Timer::WriteRow);
+    }
+
     pub(super) fn write_own_row(&mut self, context: &mut Context<'_>) {
         if self.join.has_row || self.is_stopping {
             return;
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -5,7 +5,7 @@
 
 use std::net::SocketAddr;
 
-use rand::{Rng, SeedableRng};
+use rand::{Rng, RngExt, SeedableRng};
 use rand_chacha::ChaCha8Rng;
 
 use super::evidence::{Culprit, Evidence};
@@ -19,7 +19,7 @@
 use crate::metrics::Counter;
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::sorted::SortedMap;
-use crate::table::TableRequest;
+use crate::table::{REWRITE_SPREAD_US, TableRequest};
 
 /// How long records wait for others before they are pushed together.
 const PUSH_DELAY_US: u64 = 2_000;
@@ -40,6 +40,7 @@
     Push = 1,
     Compare = 2,
     Table = 3,
+    RewriteRows = 4,
 }
 
 /// The purpose of a request whose response is awaited.
@@ -243,9 +244,7 @@
     /// that are over.
     fn expire(&mut self, context: &mut Context<'_>) {
         let over = self.evidence.expire(context.now_us());
-        let membership = context.find::<Membership>(membership::NAME);
-        let first = membership.and_then(|membership| membership.members().next());
-        if first.map(|member| member.id) != Some(self.own_id) {
+        if !self.has_smallest_id(context) {
             return;
         }
         for request in over {
@@ -253,6 +252,22 @@
         }
     }
 
+    /// Writes the rows of all quarantines again, if this is the member with the smallest identifier.
+    fn rewrite_rows(&mut self, context: &mut Context<'_>) {
+        if !self.has_smallest_id(context) {
+            return;
+        }
+        for record in self.evidence.contents(context.now_us()).quarantines {
+            self.change_row(context, rows::write_request(&record));
+        }
+    }
+
+    fn has_smallest_id(&self, context: &mut Context<'_>) -> bool {
+        let membership = context.find::<Membership>(membership::NAME);
+        let first = membership.and_then(|membership| membership.members().next());
+        first.map(|member| member.id) == Some(self.own_id)
+    }
+
     /// Returns the addresses of some random members that are alive.
     fn sample_peers(&mut self, context: &mut Context<'_>, count: usize) -> Vec<SocketAddr> {
         let Some(membership) = context.find::<Membership>(membership::NAME) else {
@@ -345,6 +360,11 @@
             Event::Notice(Notice::Resumed { .. }) => {
                 self.catch_up_until_us = context.now_us() + CATCH_UP_US;
             }
+            Event::Notice(Notice::StoreRestored) => {
+                let delay_us = self.rng.random_range(0..=REWRITE_SPREAD_US);
+                context.set_timer(delay_us, Timer::RewriteRows as u64);
+            }
+            Event::Timer(tag) if tag == Timer::RewriteRows as u64 => self.rewrite_rows(context),
             Event::Timer(tag) if tag == Timer::Push as u64 => self.push(context),
             Event::Timer(tag) if tag == Timer::Compare as u64 => self.compare(context),
             Event::Timer(tag) if tag == Timer::Table as u64 => self.repeat_table_requests(context),
--- a/src/table.rs
+++ b/src/table.rs
@@ -8,6 +8,9 @@
 
 use crate::derives::{message, value};
 
+/// The time over which daemons spread the writes of rows that a restored store may have lost.
+pub const REWRITE_SPREAD_US: u64 = 1_000_000;
+
 /// One lifetime of a store's data. A store that was restored from an older copy has lost the writes
 /// since that copy and assigns their versions again, under another epoch. 0 for a store that names
 /// no epoch.
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -15,13 +15,14 @@
 use dragonflylug::config::{self, Policy, RequestKind, ServiceRecord, Submission};
 use dragonflylug::headers;
 use dragonflylug::ids::{CallKey, Priority, RequestId};
-use dragonflylug::kernel::{CallReply, Event, TargetOutcome};
+use dragonflylug::kernel::{CallReply, Event, Notice, TargetOutcome};
 use dragonflylug::metrics::{Counter, RetryReason};
 use dragonflylug::operator::OperatorRequest;
 use dragonflylug::peer::PeerRequest;
 use dragonflylug::request::{CallRequest, ClaimKey, RunKey};
 use dragonflylug::retry::ServiceBudgetSettings;
 use dragonflylug::settings::Settings;
+use dragonflylug::table::Epoch;
 use dragonflylug::verdict::{RefusalReason, Verdict};
 use network::{ChildCall, Network, PlatformFault};
 use nodes::{CONVERGENCE_US, NodeSpec, add_node, add_node_with_routes, call, exchange, request};
@@ -396,6 +397,8 @@
 struct RestartCase {
     restarted: std::ops::Range<usize>,
     platform_fault: PlatformFault,
+    /// Whether the store loses its rows before the restart.
+    is_store_restored: bool,
     late_runs_max: usize,
 }
 
@@ -412,10 +415,24 @@
     }
 }
 
+/// Restores the store from a copy without rows, and gives the daemons time to write them again.
+fn restore_store(network: &mut Network) {
+    network.rows = Default::default();
+    network.epoch = Epoch(network.epoch.0 + 1);
+    for node in 0..network.nodes.len() {
+        network.deliver_notice(node, Notice::StoreRestored);
+    }
+    let rewritten_us = network.now_us + 2 * SECOND_US;
+    network.run_until(rewritten_us);
+}
+
 fn check_restart(case: RestartCase) {
     let mut network = routed_network();
     repeat(&mut network, 1, 10 * SECOND_US, crashing_read);
     network.platform_fault = case.platform_fault;
+    if case.is_store_restored {
+        restore_store(&mut network);
+    }
     restart(&mut network, case.restarted.clone());
     let settled_us = network.now_us + CONVERGENCE_US;
     network.run_until(settled_us);
@@ -439,17 +456,26 @@
     quarantine_outlives_the_restart_of_one_daemon => RestartCase {
         restarted: 0..1,
         platform_fault: PlatformFault::None,
+        is_store_restored: false,
         late_runs_max: 0,
     },
     quarantine_outlives_the_restart_of_a_daemon_while_the_platform_is_down => RestartCase {
         restarted: 1..2,
         platform_fault: PlatformFault::TableDown,
+        is_store_restored: false,
         // Without the table the daemon has no contacts until a peer asks whether it is back.
         late_runs_max: LATE_RUNS_MAX,
     },
     quarantine_outlives_the_restart_of_all_daemons => RestartCase {
         restarted: 0..TARGETS,
         platform_fault: PlatformFault::None,
+        is_store_restored: false,
+        late_runs_max: 0,
+    },
+    quarantine_outlives_a_restored_store_and_the_restart_of_all_daemons => RestartCase {
+        restarted: 0..TARGETS,
+        platform_fault: PlatformFault::None,
+        is_store_restored: true,
         late_runs_max: 0,
     },
 }
