Refuse in time what can't finish before a planned stop ends

Cause: the end of the process wasn't known where requests are accepted. The entry refused late requests of clients, by a fixed time after the stop of the node; child calls never, and no request by whether it could finish. The guard took long requests of other daemons until the node's stop, up to 2.65 s after the signal.

Change: the sidecar announces at the signal when the process ends at the latest. The check is where a target is chosen, so it holds for first attempts, repeats, placements, requests on kept connections and ones sent ahead alike, and before a queued request is sent. Why it works: what is accepted has its answer before the end, if requests take no longer than they did lately.

--- a/src/calls.rs
+++ b/src/calls.rs
@@ -3,6 +3,7 @@
 
 pub mod entry;
 pub mod guard;
+mod stop_limit;
 
 use std::net::SocketAddr;
 
--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -11,6 +11,7 @@
 mod response;
 mod retries;
 mod shed;
+mod stopping;
 mod tickets;
 
 pub use plan::is_idempotent;
@@ -20,6 +21,7 @@
 
 use macro_rules_attribute::apply;
 
+use crate::calls::stop_limit::StopLimit;
 use crate::derives::settings;
 use crate::ids::{CallKey, MemberId, OutboundKey};
 use crate::kernel::{Context, Event, Notice, Service};
@@ -92,6 +94,7 @@
     deferred: DeferredCalls,
     known_conditions: KnownConditions,
     stopping_since_us: Option<u64>,
+    stop_limit: StopLimit,
 }
 
 /// A peer request that waits for its response.
@@ -148,6 +151,7 @@
             deferred: DeferredCalls::default(),
             known_conditions: KnownConditions::default(),
             stopping_since_us: None,
+            stop_limit: StopLimit::default(),
         }
     }
 
@@ -283,6 +287,9 @@
         match event {
             Event::CallArrived { call, request } => self.accept_or_defer(context, call, *request),
             Event::Notice(Notice::ConfigChanged(_)) => self.handle_config_change(context),
+            Event::Notice(Notice::StopAnnounced { time_limit_us }) => {
+                self.stop_limit.announce(context.now_us(), time_limit_us);
+            }
             Event::Notice(Notice::StopRequested) => {
                 self.stopping_since_us.get_or_insert(context.now_us());
             }
--- a/src/calls/entry/attempt.rs
+++ b/src/calls/entry/attempt.rs
@@ -1,5 +1,6 @@
 //! Sends attempts of a call: the choice of the target, the peer request and hedging.
 
+use super::stopping::stopping_refusal;
 use super::{Entry, PendingRequest, Purpose, TimerKind};
 use crate::calls;
 use crate::decision::{DecisionInputs, Step};
@@ -50,6 +51,9 @@
         if let Some(refusal) = call.find_quarantine_refusal(context) {
             return Err(Verdict::NotRun(refusal));
         }
+        if self.ends_before_answer(context.now_us(), call) {
+            return Err(Verdict::NotRun(stopping_refusal()));
+        }
         choose_target(context, &call.target_query()).map_err(Verdict::NotRun)
     }
 
--- a/src/calls/entry/finish.rs
+++ b/src/calls/entry/finish.rs
@@ -83,6 +83,10 @@
         log_reply(context, &call, &verdict);
         let elapsed_us = context.now_us().saturating_sub(call.accepted_us);
         context.observe(Latency::Call, &call.request.service, elapsed_us);
+        if call.was_sent {
+            self.stop_limit
+                .record_duration(context.now_us(), call.kind(), elapsed_us);
+        }
         let succeeded = matches!(&verdict, Verdict::Ran(answer) if answer.status < 500);
         close_allowance(context, &call, succeeded);
         if !tickets.is_empty() {
--- a/src/calls/entry/shed.rs
+++ b/src/calls/entry/shed.rs
@@ -2,6 +2,7 @@
 
 use rand::RngExt;
 
+use super::stopping::stopping_refusal;
 use super::{Entry, Plan};
 use crate::kernel::Context;
 use crate::pressure::{self, ArrivingRequest, Pressures};
@@ -20,27 +21,9 @@
 const RETRY_AFTER_MAX_PERCENT: u32 = 50;
 
 /// The minimum retry-after time in any case; it takes precedence over the upper bounds.
-const RETRY_AFTER_MIN_MS: u32 = 50;
+pub(super) const RETRY_AFTER_MIN_MS: u32 = 50;
 
 impl Entry {
-    /// Returns whether the time during which a stopping daemon still accepts new requests is over;
-    /// until then callers can learn of the stop.
-    fn is_stop_grace_over(&self, now_us: u64) -> bool {
-        let refuse_us = u64::from(self.settings.stop_refuse_ms) * 1_000;
-        self.stopping_since_us
-            .is_some_and(|since_us| now_us >= since_us + refuse_us)
-    }
-
-    /// Returns the refusal while stopping. Its retry-after time is the minimum, because other
-    /// daemons still accept requests.
-    fn stopping_refusal(&self) -> Refusal {
-        Refusal {
-            reason: RefusalReason::Leaving,
-            retry_after_ms: RETRY_AFTER_MIN_MS,
-            is_other_target_worthwhile: true,
-        }
-    }
-
     /// Returns what decides whether a routed request is shed; `None` for a child call of a target,
     /// which is never shed, because requests that already run wait for it. Child calls are recorded
     /// for the estimate of which routes the target calls.
@@ -84,7 +67,7 @@
         let principal = routed.principal.as_ref();
         let organisation = principal.map(|principal| &principal.organisation);
         if self.is_stop_grace_over(now_us) {
-            return Some(self.stopping_refusal());
+            return Some(stopping_refusal());
         }
         if !pressures.should_shed(now_us, &routed.route, arriving, organisation, &mut rng) {
             return None;
--- /dev/null
+++ b/src/calls/entry/stopping.rs
@@ -0,0 +1,39 @@
+//! A planned stop at the entry daemon: which requests are still accepted and sent.
+
+use super::shed::RETRY_AFTER_MIN_MS;
+use super::{Entry, EntryCall};
+use crate::calls::stop_limit::Certainty;
+use crate::verdict::{Refusal, RefusalReason};
+
+impl Entry {
+    /// Returns whether the time during which a stopping daemon still accepts new requests is over;
+    /// until then callers can learn of the stop.
+    pub(super) fn is_stop_grace_over(&self, now_us: u64) -> bool {
+        let refuse_us = u64::from(self.settings.stop_refuse_ms) * 1_000;
+        self.stopping_since_us
+            .is_some_and(|since_us| now_us >= since_us + refuse_us)
+    }
+
+    /// Returns whether the process may end before the answer to an attempt that is sent now. A child
+    /// call can go to no other daemon, so it is refused only if recent requests of its kind took so
+    /// long.
+    pub(super) fn ends_before_answer(&self, now_us: u64, call: &EntryCall) -> bool {
+        let certainty = match call.arriving {
+            None => Certainty::Sure,
+            Some(_) => Certainty::Likely,
+        };
+        let left_us = call.plan.deadline_us.saturating_sub(now_us);
+        self.stop_limit
+            .ends_before(now_us, call.kind(), left_us, certainty)
+    }
+}
+
+/// Returns the refusal while stopping. Its retry-after time is the minimum, because other daemons
+/// still accept requests.
+pub(super) fn stopping_refusal() -> Refusal {
+    Refusal {
+        reason: RefusalReason::Leaving,
+        retry_after_ms: RETRY_AFTER_MIN_MS,
+        is_other_target_worthwhile: true,
+    }
+}
--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -20,6 +20,7 @@
 
 use crate::admission::{self, Admission};
 use crate::calls;
+use crate::calls::stop_limit::StopLimit;
 use crate::decision::{Decision, DecisionInputs, Step};
 use crate::derives::settings;
 use crate::fairness::FairShares;
@@ -79,6 +80,7 @@
     inbound: SortedMap<InboundKey, CallKey>,
     running: SortedMap<RequestId, CallKey>,
     planned_stop: PlannedStop,
+    stop_limit: StopLimit,
     /// Since when the target accepts no new work, as in [`Guard::is_leaving`].
     leaving_since_us: Option<u64>,
     release_timer_us: Option<u64>,
@@ -167,6 +169,7 @@
             inbound: SortedMap::default(),
             running: SortedMap::default(),
             planned_stop: PlannedStop::default(),
+            stop_limit: StopLimit::default(),
             leaving_since_us: None,
             release_timer_us: None,
             lost_share: LostShare::default(),
@@ -260,7 +263,7 @@
         let request = guard_call.peer_call.request;
         let run_key = guard_call.peer_call.run_key.clone();
         if matches!(run_key, RunKey::Claim(_))
-            && let Some(refusal) = self.find_refusal(key)
+            && let Some(refusal) = self.find_refusal(context.now_us(), key)
         {
             self.reply(
                 context,
@@ -321,11 +324,14 @@
         self.proceed(context, key, decided.outcome);
     }
 
-    /// Returns the refusal of a request that the target cannot accept now, whatever its rank.
-    fn find_refusal(&self, key: CallKey) -> Option<Refusal> {
+    /// Returns the refusal of a request that the target cannot accept now, whatever its rank, or that
+    /// may not finish before the process ends.
+    fn find_refusal(&self, now_us: u64, key: CallKey) -> Option<Refusal> {
         let service = &self.calls.get(&key)?.peer_call.service;
         let reason = match &self.target {
-            _ if self.is_leaving() => RefusalReason::Leaving,
+            _ if self.is_leaving() || self.ends_before_answer(now_us, key) => {
+                RefusalReason::Leaving
+            }
             None => RefusalReason::TargetNotReady,
             Some(target) if target.service != *service => RefusalReason::NoTarget,
             Some(_) => return None,
@@ -359,6 +365,9 @@
                     "",
                 ));
             }
+            Notice::StopAnnounced { time_limit_us } => {
+                self.stop_limit.announce(context.now_us(), time_limit_us);
+            }
             Notice::StopRequested => {
                 let linger_us = u64::from(self.settings.stop_linger_ms) * 1_000;
                 self.planned_stop.start(context.now_us() + linger_us);
--- a/src/calls/guard/dispatch.rs
+++ b/src/calls/guard/dispatch.rs
@@ -18,7 +18,7 @@
 
 impl Guard {
     pub(super) fn admit(&mut self, context: &mut Context<'_>, key: CallKey) {
-        if let Some(refusal) = self.find_refusal(key) {
+        if let Some(refusal) = self.find_refusal(context.now_us(), key) {
             self.refuse(context, key, refusal);
             return;
         }
@@ -125,7 +125,7 @@
         if self.calls.get(&key)?.deadline_us <= now_us {
             return Some(self.refusal(RefusalReason::Deadline, false));
         }
-        if self.refuses_queued(now_us) {
+        if self.refuses_queued(now_us) || self.ends_before_answer(now_us, key) {
             return Some(self.refusal(RefusalReason::Leaving, true));
         }
         None
--- a/src/calls/guard/drain.rs
+++ b/src/calls/guard/drain.rs
@@ -3,6 +3,8 @@
 use super::{Guard, REFUSE_QUEUED_TIMER, STOP_CHECK_TIMER, Stage};
 use crate::admission::{self, Admission, CancelOutcome};
 use crate::calls::entry::{self, Entry};
+use crate::calls::stop_limit::Certainty;
+use crate::ids::{CallKey, WorkKind};
 use crate::kernel::{Context, Effect, StateChange};
 use crate::run_once::{self, RunOnce};
 use crate::verdict::RefusalReason;
@@ -78,6 +80,17 @@
         }
     }
 
+    /// Returns whether the process may end before a request that is sent now has its answer.
+    pub(super) fn ends_before_answer(&self, now_us: u64, key: CallKey) -> bool {
+        let Some(guard_call) = self.calls.get(&key) else {
+            return false;
+        };
+        let kind = WorkKind::of_route(guard_call.peer_call.route.as_ref());
+        let left_us = guard_call.deadline_us.saturating_sub(now_us);
+        self.stop_limit
+            .ends_before(now_us, kind, left_us, Certainty::Sure)
+    }
+
     /// Stops the daemon once nothing is in flight and peers have had time to learn of the stop.
     ///
     /// It also waits for a bounded time until unused claims are released.
--- a/src/config/propagation.rs
+++ b/src/config/propagation.rs
@@ -47,7 +47,8 @@
             | Notice::RoutesChanged(_)
             | Notice::TargetAnnounced(_)
             | Notice::TargetSilent
-            | Notice::StoreRestored => {}
+            | Notice::StoreRestored
+            | Notice::StopAnnounced { .. } => {}
         }
     }
 
--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -203,6 +203,9 @@
         }
         log::info!(target: "dragonflylug", "a planned stop begins");
         self.caller_server.close_after_response();
+        self.node.submit(Input::Notice(Notice::StopAnnounced {
+            time_limit_us: u64::from(self.settings.stop_timeout_ms) * 1_000,
+        }));
         self.stop_begun.notify_one();
         tokio::spawn(Arc::clone(self).stop_after_callers_left());
     }
--- a/src/kernel/effect.rs
+++ b/src/kernel/effect.rs
@@ -146,6 +146,12 @@
     TargetAnnounced(Announcement),
     /// The target beside the daemon stopped announcing itself.
     TargetSilent,
+    /// A graceful shutdown is under way, and the process ends within a time, even with requests in
+    /// flight. New work is still accepted if it can finish.
+    StopAnnounced {
+        /// The time.
+        time_limit_us: u64,
+    },
     /// A graceful shutdown began: no new work is accepted.
     StopRequested,
     /// The platform's store was restored from an older copy: rows that were written since are gone.
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -183,7 +183,8 @@
             Notice::MemberChanged(_)
             | Notice::MemberGone(_)
             | Notice::ConfigChanged(_)
-            | Notice::RoutesChanged(_) => {}
+            | Notice::RoutesChanged(_)
+            | Notice::StopAnnounced { .. } => {}
         }
     }
 
