Answer the calls that are left just before a stopping process ends

A request that was read behind a longer one on a kept connection, and so had not run, ended with the process: its connection closed without an answer.

Cause: at the time limit of a planned stop everything was dropped, also what waited behind a request and could have been refused truly.

Change: 100 ms before the limit the entry replies to the calls that are left: may have run (daemon_stopped) to those that were sent, not run to the others. The requests behind them then start, and are refused as not run, since they can't finish.

Measured: planned_stop_answers_what_waits_behind_a_request_that_outlasts_it got no response without the replies (it panicked on the closed connection); with them 502 and then 503, and the payment behind never reached the target.

--- a/src/calls/entry.rs
+++ b/src/calls/entry.rs
@@ -37,6 +37,7 @@
 use origin::{attribute_to_repeat, may_come_from_target};
 use plan::Plan;
 use quota::Token;
+use stopping::STOP_TIMER_TAG;
 use tickets::TicketStock;
 
 /// The name of the kernel service that accepts calls.
@@ -288,8 +289,9 @@
             Event::CallArrived { call, request } => self.accept_or_defer(context, call, *request),
             Event::Notice(Notice::ConfigChanged(_)) => self.handle_config_change(context),
             Event::Notice(Notice::StopAnnounced { time_limit_us }) => {
-                self.stop_limit.announce(context.now_us(), time_limit_us);
+                self.announce_stop(context, time_limit_us);
             }
+            Event::Timer(STOP_TIMER_TAG) => self.end_calls(context),
             Event::Notice(Notice::StopRequested) => {
                 self.stopping_since_us.get_or_insert(context.now_us());
             }
--- a/src/calls/entry/stopping.rs
+++ b/src/calls/entry/stopping.rs
@@ -3,9 +3,42 @@
 use super::shed::RETRY_AFTER_MIN_MS;
 use super::{Entry, EntryCall};
 use crate::calls::stop_limit::Certainty;
-use crate::verdict::{Refusal, RefusalReason};
+use crate::ids::CallKey;
+use crate::kernel::Context;
+use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
+
+/// The tag of the timer at which the calls that are left are replied to.
+pub(super) const STOP_TIMER_TAG: u64 = u64::MAX - 1;
+
+/// The time before the end of the process at which they are.
+const LAST_REPLIES_US: u64 = 100_000;
 
 impl Entry {
+    /// Records when the process ends at the latest.
+    pub(super) fn announce_stop(&mut self, context: &mut Context<'_>, time_limit_us: u64) {
+        self.stop_limit.announce(context.now_us(), time_limit_us);
+        let delay_us = time_limit_us.saturating_sub(LAST_REPLIES_US);
+        context.set_timer(delay_us, STOP_TIMER_TAG);
+    }
+
+    /// Replies to the calls that are left, so that the requests which wait behind them on their
+    /// connections are answered too: truly as not run.
+    pub(super) fn end_calls(&mut self, context: &mut Context<'_>) {
+        let keys: Vec<CallKey> = self.calls.keys().copied().collect();
+        for key in keys {
+            let Some(call) = self.calls.get(&key) else {
+                continue;
+            };
+            let verdict = match call.was_sent {
+                true => {
+                    Verdict::may_have_run(DoubtReason::DaemonStopped, self.settings.retry_after_ms)
+                }
+                false => Verdict::NotRun(stopping_refusal()),
+            };
+            self.finish(context, key, verdict);
+        }
+    }
+
     /// Returns whether the time during which a stopping daemon still accepts new requests is over;
     /// until then callers can learn of the stop.
     pub(super) fn is_stop_grace_over(&self, now_us: u64) -> bool {
--- a/src/verdict.rs
+++ b/src/verdict.rs
@@ -132,6 +132,8 @@
         Cancelled => "cancelled",
         /// The target ended while it had the request.
         TargetEnded => "target_ended",
+        /// The daemon stopped while the request was running.
+        DaemonStopped => "daemon_stopped",
     }
 }
 
