Don't take a late copy of a refusal for a refusal of the next request

Seen by callers, in the test: a target refused a request, without naming its identifier, ran the next one on the same connection and wrote the earlier refusal once more.

Cause: a response without an identifier and without a seal counted as an answer to the request in progress on any connection. Refusals don't always name the request.

Change: on a connection that carried an exchange before, a response that doesn't name the request is taken as lost, so the caller is told that the request may have run, and the connection is dropped. On a new connection there is no earlier refusal that could be repeated. The pool tells which it is.

--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -82,6 +82,16 @@
     Lost,
 }
 
+/// Whether a connection carried exchanges before. On one that did, a response may be a late copy of
+/// an earlier one.
+#[apply(value!)]
+pub enum ConnectionUse {
+    /// The exchange is the first one of the connection.
+    First,
+    /// There were earlier exchanges.
+    Repeated,
+}
+
 /// A request and the conditions of its exchange.
 pub struct Exchange<'a> {
     /// The request.
@@ -89,7 +99,7 @@
     /// Whether the request is idempotent, so that it may run more than once.
     pub is_idempotent: bool,
     /// Returns, from its headers, whether a response belongs to the request.
-    pub matches_request: &'a (dyn Fn(&HeaderMap) -> bool + Sync),
+    pub matches_request: &'a (dyn Fn(&HeaderMap, ConnectionUse) -> bool + Sync),
     /// The permission to send the request, which may expire while it waits for a connection; none
     /// if the request may be sent at any time.
     pub permit: Option<SendPermit>,
@@ -159,7 +169,10 @@
         let mut request = exchange.request;
         loop {
             let idle = self.take_idle(exchange.is_idempotent).await;
-            let is_reused = idle.is_some();
+            let connection_use = match idle.is_some() {
+                true => ConnectionUse::Repeated,
+                false => ConnectionUse::First,
+            };
             let mut connection = match idle {
                 Some(connection) => connection,
                 None => self.connect().await?,
@@ -168,7 +181,7 @@
                 return Err(ExchangeError::NotSent);
             }
             match connection.sender.try_send_request(request).await {
-                Ok(response) if (exchange.matches_request)(response.headers()) => {
+                Ok(response) if (exchange.matches_request)(response.headers(), connection_use) => {
                     return self.read_response(connection, response).await;
                 }
                 Ok(_) => {
@@ -176,7 +189,7 @@
                     return Err(ExchangeError::Lost);
                 }
                 Err(mut error) => match error.take_message() {
-                    Some(unsent) if is_reused => request = unsent,
+                    Some(unsent) if connection_use == ConnectionUse::Repeated => request = unsent,
                     Some(_) => return Err(ExchangeError::NotSent),
                     None => {
                         self.pause_reuse();
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -46,7 +46,7 @@
     let exchange = Exchange {
         request: Request::get("/").body(Full::<Bytes>::default()).unwrap(),
         is_idempotent: true,
-        matches_request: &|_| true,
+        matches_request: &|_, _| true,
         permit: None,
     };
     assert_eq!(pool.exchange(exchange).await.unwrap().status(), 200);
