Survive a member row with the greatest incarnation

Seen by callers, in the test: another writer's row of a member with the greatest incarnation, at the address of a daemon, ended that daemon's process at each start (debug build: attempt to add with overflow, own.rs); callers got nothing from it. A release build goes back to incarnation 0, which no other daemon takes.

Cause: a daemon raises its own incarnation above the one that was reported about it, and nothing bounded what a row may report.

--- a/src/membership/contacts.rs
+++ b/src/membership/contacts.rs
@@ -104,13 +104,21 @@
     serde_json::from_str(content).unwrap_or_default()
 }
 
-/// Returns the members of rows with the rows' versions, skipping rows that cannot be parsed.
+/// The greatest incarnation in the row of a member. One start of a daemon stays far below it, and
+/// above it a daemon could not refute what is reported about it.
+const ROW_INCARNATION_MAX: u32 = u32::MAX / 2;
+
+/// Returns the members of rows with the rows' versions, skipping rows that cannot be parsed or have an
+/// incarnation that no member reaches.
 pub(super) fn row_members(rows: &[Row]) -> Vec<(Member, RowVersion)> {
     let mut members = Vec::new();
     for row in rows {
-        let Ok(member) = serde_json::from_str(&row.value) else {
+        let Ok(member) = serde_json::from_str::<Member>(&row.value) else {
             continue;
         };
+        if member.incarnation > ROW_INCARNATION_MAX {
+            continue;
+        }
         members.push((member, row.version));
     }
     members
--- a/src/membership/service/own.rs
+++ b/src/membership/service/own.rs
@@ -7,7 +7,7 @@
 impl Membership {
     /// Increments the own incarnation and propagates the own record.
     pub(super) fn update_own(&mut self, context: &mut Context<'_>) {
-        self.own.incarnation += 1;
+        self.own.incarnation = self.own.incarnation.saturating_add(1);
         self.roster.apply_report(self.own.clone(), 0);
         self.propagate(context, self.own.id, Propagation::Full);
         self.publish_change(context, self.own.id);
