Guard against responses that end early on a kept connection

Reported by another operator: an upstream stopped in the middle of its answer's head and closed, and clients got a 200 with an empty or short body.

Tried here: the pool that serves upstreams and the store gets a response that ends after each of its bytes, with a length, in chunks, after an interim response and without a body, on a connection that was used before.

--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -1,13 +1,18 @@
-//! The pool of connections to a target must reuse connections under load instead of opening new ones.
+//! The pool of connections to a target must reuse connections under load instead of opening new ones,
+//! and must take no response for whole that ended early.
+
+#[macro_use]
+#[path = "support/cases.rs"]
+mod cases;
 
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use bytes::Bytes;
-use dragonflylug::host::pool::{Exchange, HttpPool, PoolSettings};
+use dragonflylug::host::pool::{Exchange, ExchangeError, HttpPool, PoolSettings};
 use http_body_util::Full;
-use hyper::Request;
+use hyper::{Request, Response};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::Barrier;
@@ -42,14 +47,77 @@
     }
 }
 
-async fn exchange(pool: &HttpPool) {
+async fn try_exchange(pool: &HttpPool) -> Result<Response<Bytes>, ExchangeError> {
     let exchange = Exchange {
         request: Request::get("/").body(Full::<Bytes>::default()).unwrap(),
         is_idempotent: true,
         matches_request: &|_, _| true,
         permit: None,
     };
-    assert_eq!(pool.exchange(exchange).await.unwrap().status(), 200);
+    pool.exchange(exchange).await
+}
+
+async fn exchange(pool: &HttpPool) {
+    assert_eq!(try_exchange(pool).await.unwrap().status(), 200);
+}
+
+/// Starts a server that sends a whole response to the first request, and to each later one as many
+/// bytes of it as `sent_bytes` says, after which it closes.
+async fn start_cutting_server(response: &'static str, sent_bytes: usize) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let requests = Arc::new(AtomicUsize::new(0));
+    tokio::spawn(async move {
+        loop {
+            let (stream, _) = listener.accept().await.unwrap();
+            tokio::spawn(send_cut(
+                stream,
+                response,
+                sent_bytes,
+                Arc::clone(&requests),
+            ));
+        }
+    });
+    address
+}
+
+async fn send_cut(
+    mut stream: TcpStream,
+    response: &'static str,
+    sent_bytes: usize,
+    requests: Arc<AtomicUsize>,
+) {
+    let mut request = [0; 1_024];
+    while stream.read(&mut request).await.is_ok_and(|count| count > 0) {
+        let is_first = requests.fetch_add(1, Ordering::Relaxed) == 0;
+        let length = if is_first { response.len() } else { sent_bytes };
+        let _ = stream.write_all(&response.as_bytes()[..length]).await;
+        if !is_first {
+            return;
+        }
+    }
+}
+
+/// Cuts a response after each of its bytes, on a kept connection.
+fn check_cuts(response: &'static str) {
+    let runtime = tokio::runtime::Runtime::new().unwrap();
+    runtime.block_on(async {
+        for sent_bytes in 0..response.len() {
+            let address = start_cutting_server(response, sent_bytes).await;
+            let pool = HttpPool::new(address, PoolSettings::default());
+            exchange(&pool).await;
+            let cut = try_exchange(&pool).await;
+            assert!(cut.is_err(), "after {sent_bytes} bytes: {cut:?}");
+        }
+    });
+}
+
+// Guards against a response whose head or body ended early and that is taken for whole.
+cases! { check_cuts:
+    cut_response_with_a_length_is_lost => "HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 12\r\n\r\nthe answer 1",
+    cut_response_in_chunks_is_lost => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nthe a\r\n6\r\nnswer1\r\n0\r\n\r\n",
+    cut_response_after_an_interim_one_is_lost => "HTTP/1.1 102 x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
+    cut_response_without_a_body_is_lost => "HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 0\r\n\r\n",
 }
 
 #[tokio::test]
