--- a/src/calls/guard.rs
+++ b/src/calls/guard.rs
@@ -1,6 +1,7 @@
 //! The guard role: admits requests and runs them on the target beside the daemon.
 
 mod authorization;
+mod call;
 mod cancel;
 mod condition;
 mod dispatch;
@@ -21,7 +22,6 @@
 use crate::admission::{self, Admission};
 use crate::calls;
 use crate::calls::stop_limit::StopLimit;
-use crate::decision::{Decision, DecisionInputs, Step};
 use crate::derives::settings;
 use crate::fairness::FairShares;
 use crate::ids::{CallKey, InboundKey, RequestId};
@@ -30,10 +30,11 @@
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::request::{PeerCall, RunKey};
 use crate::retry::{self, Allowance, ServiceBudgets};
-use crate::run_once::{self, BeginOutcome, CLAIMS_DUE, ClaimDecision, ClaimHolder, RunOnce};
+use crate::run_once::{self, BeginOutcome, CLAIMS_DUE, ClaimDecision, RunOnce};
 use crate::sorted::SortedMap;
 use crate::target::{Announcement, ConditionTracker};
 use crate::verdict::{Refusal, RefusalReason, Verdict};
+use call::{GuardCall, Stage};
 use drain::PlannedStop;
 use limit_report::ReportedLimit;
 use losses::LostShare;
@@ -92,72 +93,6 @@
     held: Vec<CallKey>,
 }
 
-/// A request at the guard.
-struct GuardCall {
-    inbound: InboundKey,
-    peer_call: PeerCall,
-    arrived_us: u64,
-    started_us: u64,
-    deadline_us: u64,
-    allowance: Allowance,
-    stage: Stage,
-    has_failed_child: bool,
-    /// Whether a child call that names the request as its parent began.
-    has_child_calls: bool,
-    /// Whether the entry daemon no longer waits for the reply.
-    is_abandoned: bool,
-    /// When the request was first held back from the target.
-    held_since_us: Option<u64>,
-    holder: Option<ClaimHolder>,
-}
-
-impl GuardCall {
-    /// Logs a decision on the request if it is routed, as only routed requests have a trace
-    /// identifier. `is_ordinary` marks lines that are dropped first if there are too many.
-    fn log_decision(
-        &self,
-        context: &mut Context<'_>,
-        step: Step,
-        outcome: &'static str,
-        is_ordinary: bool,
-        inputs: DecisionInputs,
-    ) {
-        let Some(trace_id) = self.peer_call.trace_id.clone() else {
-            return;
-        };
-        context.log_decision(Decision {
-            trace_id,
-            service: self.peer_call.service.clone(),
-            step,
-            outcome,
-            is_ordinary,
-            organisation: self
-                .peer_call
-                .principal
-                .as_ref()
-                .map(|principal| principal.organisation.clone()),
-            inputs,
-        });
-    }
-}
-
-/// The progress of a request at the guard.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Stage {
-    /// No decision was made yet.
-    New,
-    /// It waits until its claim is decided in the platform's table.
-    AwaitingClaim,
-    /// It waits for the verdict of another call with the same key.
-    Joined,
-    /// It waits in the admission queue.
-    Queued,
-    /// It was admitted, and waits until another request is no longer at the target.
-    Held,
-    /// It was sent to the target.
-    Sent,
-}
-
 impl Guard {
     /// Creates a guard without a target; a target announces itself later.
     pub fn new(settings: GuardSettings) -> Self {
--- a/src/routes.rs
+++ b/src/routes.rs
@@ -8,6 +8,7 @@
 mod service;
 mod split;
 mod table;
+mod watch;
 
 pub use message::Message;
 pub use service::{Routes, RoutesSettings};
