Close the store's connections after a late copy, and learn durations of answers only

Found in reading the diff. After a late copy of a store's response the connection went back to the pool, where each request could get the response to the one before; now the pool is cleared, and connections in use then aren't reused (that also holds for a target whose instance changed). Durations of requests that were refused or lost went into the estimate by which a stopping daemon accepts requests, and made it shorter; only answers count now.

--- a/src/calls/entry/finish.rs
+++ b/src/calls/entry/finish.rs
@@ -83,7 +83,7 @@
         log_reply(context, &call, &verdict);
         let elapsed_us = context.now_us().saturating_sub(call.accepted_us);
         context.observe(Latency::Call, &call.request.service, elapsed_us);
-        if call.was_sent {
+        if matches!(verdict, Verdict::Ran(_)) {
             self.stop_limit
                 .record_duration(context.now_us(), call.kind(), elapsed_us);
         }
--- a/src/calls/guard/finish.rs
+++ b/src/calls/guard/finish.rs
@@ -60,9 +60,11 @@
         };
         let elapsed_us = context.now_us().saturating_sub(guard_call.started_us);
         context.observe(Latency::Target, &guard_call.peer_call.service, elapsed_us);
-        let kind = WorkKind::of_route(guard_call.peer_call.route.as_ref());
-        self.stop_limit
-            .record_duration(context.now_us(), kind, elapsed_us);
+        if matches!(verdict, Verdict::Ran(_)) {
+            let kind = WorkKind::of_route(guard_call.peer_call.route.as_ref());
+            self.stop_limit
+                .record_duration(context.now_us(), kind, elapsed_us);
+        }
         let ended = match &verdict {
             Verdict::Ran(answer) if answer.status < 500 || has_failed_child => {
                 CallOutcome::Answered
--- a/src/calls/stop_limit.rs
+++ b/src/calls/stop_limit.rs
@@ -57,7 +57,7 @@
         self.ends_us.get_or_insert(now_us + time_limit_us);
     }
 
-    /// Records how long a request took.
+    /// Records how long a request took that was answered.
     pub(super) fn record_duration(&mut self, now_us: u64, kind: WorkKind, duration_us: u64) {
         if !self.durations.contains_key(&kind) && self.durations.len() >= KINDS_MAX {
             return;
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -116,6 +116,8 @@
 #[derive(Default)]
 struct PoolState {
     idle: Vec<Idle>,
+    /// The number of times that the connections were closed; one in use then isn't reused either.
+    closed_count: u64,
     /// The number of connections whose response was read and that are not reusable yet.
     returning: usize,
     reuse_paused_until: Option<Instant>,
@@ -167,6 +169,7 @@
     /// [`ExchangeError::Lost`] if it may have arrived.
     pub async fn exchange(&self, exchange: Exchange<'_>) -> Result<Response<Bytes>, ExchangeError> {
         let mut request = exchange.request;
+        let closed_count = lock(&self.state).closed_count;
         loop {
             let idle = self.take_idle(exchange.is_idempotent).await;
             let connection_use = match idle.is_some() {
@@ -182,7 +185,7 @@
             }
             match connection.sender.try_send_request(request).await {
                 Ok(response) if (exchange.matches_request)(response.headers(), connection_use) => {
-                    return self.read_response(connection, response).await;
+                    return self.read_response(connection, response, closed_count).await;
                 }
                 Ok(_) => {
                     self.pause_reuse();
@@ -205,15 +208,18 @@
         is_refused(self.to, self.settings.connect_timeout).await
     }
 
-    /// Closes all idle connections.
+    /// Closes all idle connections, and those in use once their exchange has ended.
     pub fn clear(&self) {
-        lock(&self.state).idle.clear();
+        let mut state = lock(&self.state);
+        state.idle.clear();
+        state.closed_count += 1;
     }
 
     async fn read_response(
         &self,
         connection: Connection,
         response: Response<hyper::body::Incoming>,
+        closed_count: u64,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (head, body) = response.into_parts();
         let Some(body) = read_body(body, &self.budget, self.settings.response_bytes_max).await
@@ -221,7 +227,7 @@
             self.pause_reuse();
             return Err(ExchangeError::Lost);
         };
-        self.put_back(connection);
+        self.put_back(connection, closed_count);
         Ok(Response::from_parts(head, body))
     }
 
@@ -258,8 +264,9 @@
         state.idle.pop().map(|idle| idle.connection)
     }
 
-    /// Returns a connection to the pool once it is ready; drops it if the other side closes it.
-    fn put_back(&self, mut connection: Connection) {
+    /// Returns a connection to the pool once it is ready; drops it if the other side closes it, or if
+    /// the connections were closed since `closed_count`.
+    fn put_back(&self, mut connection: Connection, closed_count: u64) {
         let state = Arc::clone(&self.state);
         let count_max = self.settings.idle_count_max;
         lock(&state).returning += 1;
@@ -270,7 +277,7 @@
             if !matches!(ready, Ok(Ok(()))) {
                 return;
             }
-            if state.idle.len() >= count_max {
+            if state.idle.len() >= count_max || state.closed_count != closed_count {
                 return;
             }
             let since = Instant::now();
