Assign no version of the records twice after a restoration

Seen by callers of the product's own daemon, in the test: after the table of the operators' records was restored from an older copy, the change that was accepted next got the version of a lost one, and all daemons kept the lost change (4 retries where 5 are asked for, each run).

Change: the first change in an epoch gets the epoch's first version, epoch times 2^40, above all versions of earlier epochs. Without an epoch versions are as before. An expected version at its greatest no longer overflows.

--- a/src/config/rows.rs
+++ b/src/config/rows.rs
@@ -5,7 +5,7 @@
 use super::state::{Change, StoredRecord};
 use crate::derives::message;
 use crate::ids::ServiceName;
-use crate::table::Row;
+use crate::table::{Epoch, Row};
 
 /// The key of the row with the global version.
 pub(super) const VERSION_KEY: &str = "config/version";
@@ -19,6 +19,9 @@
 /// The prefix of the keys under which the operators' identifiers of recent changes are stored.
 const CHANGE_ID_PREFIX: &str = "config/change-id/";
 
+/// The number of versions of one epoch of the table.
+const VERSIONS_PER_EPOCH: u64 = 1 << 40;
+
 /// The global version, and the digest of all records at it.
 #[apply(message!)]
 pub(super) struct VersionRow {
@@ -54,6 +57,18 @@
     format!("{CHANGE_ID_PREFIX}{change_id}")
 }
 
+/// Returns the first version of an epoch of the table. The versions of all earlier epochs are below
+/// it, so that a version which a restored table lost is never assigned to another change.
+pub(super) fn first_version(epoch: Epoch) -> u64 {
+    epoch.0.saturating_mul(VERSIONS_PER_EPOCH)
+}
+
+/// Returns the epoch in which the row with a key was read; the default one if it is missing.
+pub(super) fn epoch_of(rows: &[Row], key: &str) -> Epoch {
+    let row = rows.iter().find(|row| row.key == key);
+    row.map_or(Epoch::default(), |row| row.version.epoch)
+}
+
 /// Parses the row with a key; returns `None` if it is missing or cannot be parsed.
 pub(super) fn parse_row<T: serde::de::DeserializeOwned>(rows: &[Row], key: &str) -> Option<T> {
     for row in rows {
--- a/src/config/submit_transaction.rs
+++ b/src/config/submit_transaction.rs
@@ -80,14 +80,18 @@
         keys
     }
 
-    fn new_version(&self) -> u64 {
-        self.submission.expected_version + 1
+    /// Returns the version of the change: the next one, or the first of the table's epoch if the table
+    /// was restored since the last change.
+    fn new_version(&self, rows: &[Row]) -> u64 {
+        let next = self.submission.expected_version.saturating_add(1);
+        next.max(rows::first_version(rows::epoch_of(rows, rows::VERSION_KEY)))
     }
 
     /// Returns the key of the change that the new one displaces from the table, the one
-    /// `changes_kept` versions before it.
+    /// `changes_kept` versions before it. The changes before a restoration stay.
     fn displaced_change_key(&self) -> Option<String> {
-        let version = self.new_version().checked_sub(self.changes_kept)?;
+        let next = self.submission.expected_version.saturating_add(1);
+        let version = next.checked_sub(self.changes_kept)?;
         Some(rows::change_key(version))
     }
 
@@ -240,7 +244,7 @@
     }
 
     fn build_change(&self, rows: &[Row], digest: u64, common_schema_version: u16) -> Change {
-        let version = self.new_version();
+        let version = self.new_version(rows);
         let mut digest = digest;
         for old in rows::parse_records(rows) {
             digest = digest.wrapping_sub(old.hash());
--- a/tests/restored_records.rs
+++ b/tests/restored_records.rs
@@ -32,7 +32,20 @@
     }
     cluster.submit_one(0, "c3", 1, 5);
     cluster.run(PROPAGATION_MAX_US);
+    check_retries(&mut cluster, 5);
+    let version = cluster.version(0);
+    cluster.submit_one(3, "c4", version, 6);
+    cluster.run(PROPAGATION_MAX_US);
+    check_retries(&mut cluster, 6);
+    assert_eq!(cluster.versions(), [version + 1; DAEMONS]);
+}
+
+fn check_retries(cluster: &mut ConfigCluster, retries: u32) {
     for node in 0..DAEMONS {
-        assert_eq!(cluster.retries(node, "payouts"), Some(5), "daemon {node}");
+        assert_eq!(
+            cluster.retries(node, "payouts"),
+            Some(retries),
+            "daemon {node}"
+        );
     }
 }
