--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -114,10 +114,10 @@
 
 // Guards against a response whose head or body ended early and that is taken for whole.
 cases! { check_cuts:
-    cut_response_with_a_length_is_lost => "HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 12\r\n\r\nthe answer 1",
+    cut_response_with_a_length_is_lost => "HTTP/1.1 200 OK\r\nx-mark: s\r\ncontent-length: 12\r\n\r\nthe answer 1",
     cut_response_in_chunks_is_lost => "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n5\r\nthe a\r\n6\r\nnswer1\r\n0\r\n\r\n",
     cut_response_after_an_interim_one_is_lost => "HTTP/1.1 102 x\r\n\r\nHTTP/1.1 200 OK\r\ncontent-length: 3\r\n\r\nabc",
-    cut_response_without_a_body_is_lost => "HTTP/1.1 200 OK\r\nresponse-seal: s\r\ncontent-length: 0\r\n\r\n",
+    cut_response_without_a_body_is_lost => "HTTP/1.1 200 OK\r\nx-mark: s\r\ncontent-length: 0\r\n\r\n",
 }
 
 #[tokio::test]
