Send each health check on a connection of its own

What callers would see: a daemon that asks its target after a late report takes a target that leaves for ready, and sends it requests.

Cause: a health check was sent on a kept connection and took any response. Its answer names no request, so a late copy of an earlier one looks the same.

Evidence: second_copy_of_a_health_answer_confirms_no_target failed before the fix: the second check returned instance i-1 although the target answered 503.

Fix: HttpPool::exchange_alone opens a connection for the check and closes it. Checks are rare (first second after a start, reports that may be late).

--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -10,6 +10,7 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
+use hyper::body::Incoming;
 use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
@@ -185,7 +186,12 @@
             }
             match connection.sender.try_send_request(request).await {
                 Ok(response) if (exchange.matches_request)(response.headers(), connection_use) => {
-                    return self.read_response(connection, response, closed_count).await;
+                    let response = self.read_whole(response).await;
+                    match response {
+                        Ok(_) => self.put_back(connection, closed_count),
+                        Err(_) => self.pause_reuse(),
+                    }
+                    return response;
                 }
                 Ok(_) => {
                     self.pause_reuse();
@@ -203,6 +209,22 @@
         }
     }
 
+    /// Sends a request on a connection of its own, which is closed after the response: what it
+    /// returns is no late copy of an earlier response.
+    ///
+    /// # Errors
+    ///
+    /// As [`exchange`](Self::exchange).
+    pub async fn exchange_alone(
+        &self,
+        request: Request<Full<Bytes>>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let mut connection = self.connect().await?;
+        let response = connection.sender.send_request(request).await;
+        let response = response.map_err(|_| ExchangeError::Lost)?;
+        self.read_whole(response).await
+    }
+
     /// Returns whether a new connection is refused, so that nothing listens at the address.
     pub async fn is_refused(&self) -> bool {
         is_refused(self.to, self.settings.connect_timeout).await
@@ -215,19 +237,13 @@
         state.closed_count += 1;
     }
 
-    async fn read_response(
+    async fn read_whole(
         &self,
-        connection: Connection,
-        response: Response<hyper::body::Incoming>,
-        closed_count: u64,
+        response: Response<Incoming>,
     ) -> Result<Response<Bytes>, ExchangeError> {
         let (head, body) = response.into_parts();
-        let Some(body) = read_body(body, &self.budget, self.settings.response_bytes_max).await
-        else {
-            self.pause_reuse();
-            return Err(ExchangeError::Lost);
-        };
-        self.put_back(connection, closed_count);
+        let body = read_body(body, &self.budget, self.settings.response_bytes_max).await;
+        let body = body.ok_or(ExchangeError::Lost)?;
         Ok(Response::from_parts(head, body))
     }
 
