Guard the links between daemons against late copies of responses

Cause: the postmortem of the repeated refusal named this path as read, not tried. A link matches responses by the number of their request.

Change: a test with a relay that sends a copy of the response before, at the point where the next one is expected.

--- a/tests/links.rs
+++ b/tests/links.rs
@@ -7,6 +7,8 @@
 #[path = "support/sized_answers.rs"]
 mod sized_answers;
 
+use std::net::SocketAddr;
+
 use dragonflylug::host::PeerTransport;
 use dragonflylug::kernel::LinkError;
 use dragonflylug::peer::PeerResponse;
@@ -14,7 +16,8 @@
 use dragonflylug_standins::target::TargetConfig;
 use processes::{Call, start_behind_relay};
 use sized_answers::{REQUEST_TIMEOUT, peer_links, sized_request, start_sized_answer_node};
-use tokio::net::TcpListener;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::{TcpListener, TcpStream};
 
 /// The body size of a large response, which is sent in chunks.
 const LARGE_BYTES: usize = 12 * 1024 * 1024;
@@ -86,6 +89,47 @@
     assert_eq!(answer.err(), Some(LinkError::NotSent));
 }
 
+/// Forwards one connection to an address, with each response preceded by a copy of the one before.
+async fn forward_with_late_copies(listener: TcpListener, to: SocketAddr) -> std::io::Result<()> {
+    let (caller, _) = listener.accept().await?;
+    let (mut requests, mut responses) = caller.into_split();
+    let (mut from_node, mut to_node) = TcpStream::connect(to).await?.into_split();
+    let forwarding = tokio::io::copy(&mut requests, &mut to_node);
+    let copying = async {
+        let mut previous = Vec::new();
+        loop {
+            let length = from_node.read_u32().await?;
+            let mut frame = length.to_be_bytes().to_vec();
+            frame.resize(frame.len() + length as usize, 0);
+            from_node.read_exact(&mut frame[4..]).await?;
+            responses.write_all(&previous).await?;
+            responses.write_all(&frame).await?;
+            previous = frame;
+        }
+    };
+    tokio::select! {
+        forwarded = forwarding => forwarded.map(|_| ()),
+        copied = copying => copied,
+    }
+}
+
+/// Guards against a response that is taken for that of the next request on the link.
+#[tokio::test]
+async fn a_late_copy_of_a_response_answers_no_other_request() {
+    let node = start_sized_answer_node().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = listener.local_addr().unwrap();
+    let forwarding = tokio::spawn(forward_with_late_copies(listener, node));
+    let links = peer_links();
+    for bytes in 1..20 {
+        let answer = links
+            .request(relay, sized_request(bytes), REQUEST_TIMEOUT)
+            .await;
+        assert_eq!(body_bytes(answer), bytes);
+    }
+    assert!(!forwarding.is_finished(), "the link was closed");
+}
+
 #[test]
 fn an_altered_answer_is_never_returned_to_a_caller() {
     let config = TargetConfig {
