Name the subject of a logged decision in one place

Cause: three places took trace identifier, service and organisation of a request apart for the decision log, two of them in the same way.

Change: DecisionSubject, made by CallRequest and by PeerCall. Log lines are unchanged.

--- a/src/calls/entry/call.rs
+++ b/src/calls/entry/call.rs
@@ -68,8 +68,8 @@
         }
     }
 
-    /// Logs a decision on the call if it is routed, as only routed calls have a trace identifier.
-    /// `is_ordinary` marks lines that are dropped first if there are too many.
+    /// Logs a decision on the call if it is routed. `is_ordinary` marks lines that are dropped first
+    /// if there are too many.
     pub(super) fn log_decision(
         &self,
         context: &mut Context<'_>,
@@ -78,16 +78,14 @@
         is_ordinary: bool,
         inputs: DecisionInputs,
     ) {
-        let Some(trace_id) = self.trace_id() else {
+        let Some(subject) = self.request.decision_subject() else {
             return;
         };
         context.log_decision(Decision {
-            trace_id,
-            service: self.request.service.clone(),
+            subject,
             step,
             outcome,
             is_ordinary,
-            organisation: self.organisation().cloned(),
             inputs,
         });
     }
--- a/src/calls/entry/finish.rs
+++ b/src/calls/entry/finish.rs
@@ -25,22 +25,17 @@
     ) {
         let verdict = run_once::non_holder_verdict(&request.run_key, refusal);
         count_verdict(context, &verdict);
-        if let Some(routed) = &request.routed {
+        if let Some(subject) = request.decision_subject() {
             let inputs = DecisionInputs {
                 left_ms: request.deadline_left_ms.unwrap_or(0),
                 config_version: calls::config_version(context),
                 ..DecisionInputs::default()
             };
             context.log_decision(Decision {
-                trace_id: routed.trace_id.clone(),
-                service: request.service.clone(),
+                subject,
                 step: Step::Rejected,
                 outcome: outcome_code(&verdict),
                 is_ordinary: false,
-                organisation: routed
-                    .principal
-                    .as_ref()
-                    .map(|principal| principal.organisation.clone()),
                 inputs,
             });
         }
--- a/src/calls/guard/call.rs
+++ b/src/calls/guard/call.rs
@@ -27,8 +27,8 @@
 }
 
 impl GuardCall {
-    /// Logs a decision on the request if it is routed, as only routed requests have a trace
-    /// identifier. `is_ordinary` marks lines that are dropped first if there are too many.
+    /// Logs a decision on the request if it is routed. `is_ordinary` marks lines that are dropped
+    /// first if there are too many.
     pub(super) fn log_decision(
         &self,
         context: &mut Context<'_>,
@@ -37,20 +37,14 @@
         is_ordinary: bool,
         inputs: DecisionInputs,
     ) {
-        let Some(trace_id) = self.peer_call.trace_id.clone() else {
+        let Some(subject) = self.peer_call.decision_subject() else {
             return;
         };
         context.log_decision(Decision {
-            trace_id,
-            service: self.peer_call.service.clone(),
+            subject,
             step,
             outcome,
             is_ordinary,
-            organisation: self
-                .peer_call
-                .principal
-                .as_ref()
-                .map(|principal| principal.organisation.clone()),
             inputs,
         });
     }
--- a/src/decision.rs
+++ b/src/decision.rs
@@ -41,13 +41,22 @@
     }
 }
 
-/// A decision on one request.
+/// The request that a decision is about.
 #[derive(Clone, Debug, PartialEq)]
-pub struct Decision {
+pub struct DecisionSubject {
     /// The identifier that the caller gave.
     pub trace_id: TraceId,
     /// The service that is called.
     pub service: ServiceName,
+    /// The organisation that sent the request, if its key named one.
+    pub organisation: Option<OrganisationName>,
+}
+
+/// A decision on one request.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Decision {
+    /// The request.
+    pub subject: DecisionSubject,
     /// The step.
     pub step: Step,
     /// The outcome, or the reason for the decision.
@@ -56,8 +65,6 @@
     /// decision log limits lines of such decisions to a lower rate than those of retries, refusals
     /// and failures, so that they are dropped first.
     pub is_ordinary: bool,
-    /// The organisation that sent the request, if its key named one.
-    pub organisation: Option<OrganisationName>,
     /// The inputs of the decision.
     pub inputs: DecisionInputs,
 }
--- a/src/host/decisions.rs
+++ b/src/host/decisions.rs
@@ -69,13 +69,14 @@
 }
 
 fn write_line(decision: &Decision) {
+    let subject = &decision.subject;
     let inputs = &decision.inputs;
-    let organisation = decision.organisation.as_ref();
+    let organisation = subject.organisation.as_ref();
     let member = inputs.member.map_or(0, |member| member.0);
     log::info!(
         target: "dragonflylug",
-        trace_id = decision.trace_id.as_str(),
-        service = decision.service.as_str(),
+        trace_id = subject.trace_id.as_str(),
+        service = subject.service.as_str(),
         organisation = organisation.map_or("", OrganisationName::as_str),
         outcome = decision.outcome,
         member:% = format_args!("{member:016x}"),
--- a/src/request.rs
+++ b/src/request.rs
@@ -3,6 +3,7 @@
 use bytes::Bytes;
 use macro_rules_attribute::apply;
 
+use crate::decision::DecisionSubject;
 use crate::derives::{message, value};
 use crate::ids::{Caller, MemberId, Priority, RequestId, RootId, RouteName, ServiceName, TraceId};
 use crate::organisations::Principal;
@@ -117,6 +118,18 @@
 }
 
 impl CallRequest {
+    /// Returns the request as the subject of logged decisions; `None` if it is not routed, as only
+    /// routed requests have a trace identifier.
+    pub fn decision_subject(&self) -> Option<DecisionSubject> {
+        let routed = self.routed.as_ref()?;
+        let principal = routed.principal.as_ref();
+        Some(DecisionSubject {
+            trace_id: routed.trace_id.clone(),
+            service: self.service.clone(),
+            organisation: principal.map(|principal| principal.organisation.clone()),
+        })
+    }
+
     /// Shortens the time left, which the route's timeout bounds, by the time that the request has
     /// already waited.
     pub fn shorten_deadline(&mut self, waited_ms: u32) {
@@ -195,6 +208,16 @@
 }
 
 impl PeerCall {
+    /// Returns the request as the subject of logged decisions; `None` if it is not routed.
+    pub fn decision_subject(&self) -> Option<DecisionSubject> {
+        let principal = self.principal.as_ref();
+        Some(DecisionSubject {
+            trace_id: self.trace_id.clone()?,
+            service: self.service.clone(),
+            organisation: principal.map(|principal| principal.organisation.clone()),
+        })
+    }
+
     /// Returns the rank that determines when the call is shed. The root request counts only for a
     /// call without a route.
     pub fn rank(&self) -> Rank {
