Don't give a caller the daemon's late copy of another answer

What callers saw: with the product's own daemon, the answer to another request, where the target wrote an earlier answer once more on a kept connection.

Cause: the daemon's client of its target took any response on a kept connection for that of the next request.

Evidence: late_copy_of_an_answer_answers_no_other_request failed before the fix: the answer to request 0 was given to request 1.

Fix: the daemon uses HttpPool as well, and an answer that names another request in x-dragonflylug-request is lost. Targets need not name it; the stand-in does.

--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -162,6 +162,11 @@
         }
     }
 
+    /// Returns the address.
+    pub fn address(&self) -> SocketAddr {
+        self.to
+    }
+
     /// Sends a request and reads its whole response; dropping the future closes the connection.
     ///
     /// # Errors
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -6,14 +6,12 @@
 
 use bytes::Bytes;
 use http_body_util::Full;
-use hyper::header::HeaderMap;
-use hyper::{Request, Uri};
-use hyper_util::client::legacy::Client;
-use hyper_util::client::legacy::connect::HttpConnector;
-use hyper_util::rt::{TokioExecutor, TokioTimer};
+use hyper::Request;
+use hyper::header::{HOST, HeaderMap};
 
 use super::end_check::EndCheck;
-use super::response_budget::{ResponseBudget, read_body};
+use super::pool::{ConnectionUse, Exchange, ExchangeError, HttpPool, PoolSettings};
+use super::response_budget::ResponseBudget;
 use super::{
     Clock, DepartureSink, MonotonicClock, TargetReply, TargetRequest, TargetTransport, http, lock,
 };
@@ -23,14 +21,10 @@
 use crate::table::BoxFuture;
 use crate::target::{Announcement, AnswerSignals, Departures, RateLimitSignal, TargetStart};
 
-/// How long an idle connection to the target is kept open.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(30);
-
 /// How long a target may send no announcement before it counts as lost.
 const ANNOUNCEMENT_TIMEOUT: Duration = Duration::from_secs(5);
 
-/// The maximum size of the body of an answer, and of those of all answers in memory.
-const ANSWER_BYTES_MAX: usize = 32 * 1024 * 1024;
+/// The maximum size of the bodies of all answers in memory.
 const ANSWERS_BYTES_MAX: usize = 128 * 1024 * 1024;
 
 /// The latest announcement of the target, and the instances that drained.
@@ -48,7 +42,8 @@
 
 /// A client with pooled connections to the target that last announced itself.
 pub struct TargetClient {
-    client: Client<HttpConnector, Full<Bytes>>,
+    /// The connections to the address of the latest announcement.
+    pool: Mutex<Option<Arc<HttpPool>>>,
     budget: Arc<ResponseBudget>,
     announcements: Mutex<Announcements>,
     clock: MonotonicClock,
@@ -57,14 +52,8 @@
 
 impl Default for TargetClient {
     fn default() -> Self {
-        let mut connector = HttpConnector::new();
-        connector.set_nodelay(true);
-        let client = Client::builder(TokioExecutor::new())
-            .pool_idle_timeout(IDLE_TIMEOUT)
-            .pool_timer(TokioTimer::new())
-            .build(connector);
         Self {
-            client,
+            pool: Mutex::default(),
             budget: ResponseBudget::new(ANSWERS_BYTES_MAX),
             announcements: Mutex::default(),
             clock: MonotonicClock::default(),
@@ -107,28 +96,56 @@
         is_expired
     }
 
-    async fn exchange(&self, http: HttpRequest) -> TargetReply {
+    async fn exchange(&self, request: TargetRequest) -> TargetReply {
         let address = lock(&self.announcements).latest_address();
-        let request = address.and_then(|address| build_request(address, http));
-        let (Some(address), Some(request)) = (address, request) else {
+        let mut sent = request.http.headers.iter();
+        let request_id = sent.find(|header| header.name == headers::REQUEST);
+        let request_id = request_id.map(|header| header.value.clone());
+        let http = address.and_then(|address| build_request(address, request.http));
+        let (Some(address), Some(http)) = (address, http) else {
             return TargetOutcome::NotSent.into();
         };
-        let response = match self.client.request(request).await {
+        // A target need not name the request in its answer.
+        let matches_request = |header_map: &HeaderMap, _: ConnectionUse| {
+            let named = header_map.get(headers::REQUEST);
+            named.is_none_or(|named| {
+                request_id
+                    .as_ref()
+                    .is_some_and(|sent| named == sent.as_str())
+            })
+        };
+        let exchange = Exchange {
+            request: http,
+            is_idempotent: request.is_idempotent,
+            matches_request: &matches_request,
+            permit: Some(request.permit),
+        };
+        let response = match self.pool_of(address).exchange(exchange).await {
             Ok(response) => response,
-            Err(error) if error.is_connect() => return TargetOutcome::NotSent.into(),
-            Err(_) => return self.end_check.outcome_of_lost(address).await.into(),
+            Err(ExchangeError::NotSent) => return TargetOutcome::NotSent.into(),
+            Err(ExchangeError::Lost) => {
+                return self.end_check.outcome_of_lost(address).await.into();
+            }
         };
         let status = response.status().as_u16();
         let headers = http::forwarded_headers(response.headers());
         let signals = read_signals(response.headers());
-        match read_body(response.into_body(), &self.budget, ANSWER_BYTES_MAX).await {
-            Some(body) => TargetReply {
-                outcome: TargetOutcome::Answered(Answer::new(status, headers, body)),
-                signals,
-            },
-            None => self.end_check.outcome_of_lost(address).await.into(),
+        TargetReply {
+            outcome: TargetOutcome::Answered(Answer::new(status, headers, response.into_body())),
+            signals,
         }
     }
+
+    /// Returns the pool of connections to an address, a new one if the address has changed.
+    fn pool_of(&self, address: SocketAddr) -> Arc<HttpPool> {
+        let mut pool = lock(&self.pool);
+        if let Some(pool) = pool.as_ref().filter(|pool| pool.address() == address) {
+            return Arc::clone(pool);
+        }
+        let budget = Arc::clone(&self.budget);
+        let new = HttpPool::with_budget(address, PoolSettings::default(), budget);
+        Arc::clone(pool.insert(Arc::new(new)))
+    }
 }
 
 impl Announcements {
@@ -139,8 +156,10 @@
 }
 
 fn build_request(address: SocketAddr, http: HttpRequest) -> Option<Request<Full<Bytes>>> {
-    let uri: Uri = format!("http://{address}{}", http.path).parse().ok()?;
-    let mut builder = Request::builder().method(http.method.as_str()).uri(uri);
+    let mut builder = Request::builder()
+        .method(http.method.as_str())
+        .uri(http.path.as_str())
+        .header(HOST, address.to_string());
     for header in &http.headers {
         builder = builder.header(&header.name, &header.value);
     }
@@ -172,11 +191,8 @@
 impl TargetTransport for TargetClient {
     fn send(&self, request: TargetRequest) -> BoxFuture<'_, TargetReply> {
         Box::pin(async move {
-            if !request.permit.is_valid() {
-                return TargetOutcome::NotSent.into();
-            }
-            let exchange = self.exchange(request.http);
-            let exchange = tokio::time::timeout(request.timeout, exchange).await;
+            let timeout = request.timeout;
+            let exchange = tokio::time::timeout(timeout, self.exchange(request)).await;
             exchange.unwrap_or(TargetOutcome::Lost.into())
         })
     }
--- a/standins/src/target/execution.rs
+++ b/standins/src/target/execution.rs
@@ -13,7 +13,7 @@
 use super::{ANSWER_BYTES_HEADER, CRASH_AFTER_US_HEADER, SERVICE_US_HEADER};
 
 /// The header that identifies a request.
-const REQUEST_HEADER: &str = "x-dragonflylug-request";
+pub(super) const REQUEST_HEADER: &str = "x-dragonflylug-request";
 
 /// A request as the target received it.
 pub(super) struct IncomingRequest {
--- a/standins/src/target/http.rs
+++ b/standins/src/target/http.rs
@@ -19,7 +19,7 @@
 use tokio::task::JoinSet;
 
 use super::config::{Behaviour, Health, TargetMode};
-use super::execution::{IncomingRequest, RunOutcome};
+use super::execution::{IncomingRequest, REQUEST_HEADER, RunOutcome};
 use super::state::State;
 use super::{LEAVING_HEADER, RATE_LIMIT_HEADER, WORK_US_HEADER};
 
@@ -133,6 +133,9 @@
         body,
     };
     let mut response = run(&request, state).await;
+    if let Some(id) = request.headers.get(REQUEST_HEADER) {
+        response.headers_mut().insert(REQUEST_HEADER, id.clone());
+    }
     add_signals(state, response.headers_mut());
     Ok(response)
 }
