Name what decides whether an answer belongs to a request

From reading the change as a newcomer: the identifier of the request and the check were one expression in the exchange.

--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -98,22 +98,13 @@
 
     async fn exchange(&self, request: TargetRequest) -> TargetReply {
         let address = lock(&self.announcements).latest_address();
-        let mut sent = request.http.headers.iter();
-        let request_id = sent.find(|header| header.name == headers::REQUEST);
-        let request_id = request_id.map(|header| header.value.clone());
+        let request_id = request_id(&request.http);
         let http = address.and_then(|address| build_request(address, request.http));
         let (Some(address), Some(http)) = (address, http) else {
             return TargetOutcome::NotSent.into();
         };
-        // A target need not name the request in its answer.
-        let matches_request = |header_map: &HeaderMap, _: ConnectionUse| {
-            let named = header_map.get(headers::REQUEST);
-            named.is_none_or(|named| {
-                request_id
-                    .as_ref()
-                    .is_some_and(|sent| named == sent.as_str())
-            })
-        };
+        let matches_request =
+            |answer: &HeaderMap, _: ConnectionUse| belongs_to(answer, request_id.as_deref());
         let exchange = Exchange {
             request: http,
             is_idempotent: request.is_idempotent,
@@ -166,6 +157,24 @@
     builder.body(Full::new(http.body)).ok()
 }
 
+/// Returns the identifier with which a request is sent to the target.
+fn request_id(http: &HttpRequest) -> Option<String> {
+    for header in &http.headers {
+        if header.name == headers::REQUEST {
+            return Some(header.value.clone());
+        }
+    }
+    None
+}
+
+/// Returns whether an answer may belong to a request: it names no request or this one.
+fn belongs_to(answer: &HeaderMap, request_id: Option<&str>) -> bool {
+    let Some(named) = answer.get(headers::REQUEST) else {
+        return true;
+    };
+    request_id.is_some_and(|request_id| named == request_id)
+}
+
 /// Reads what the head of an answer says of the target.
 fn read_signals(header_map: &HeaderMap) -> AnswerSignals {
     let limits = header_map.get_all(headers::RATE_LIMIT).iter();
