--- a/review/common-2/cases.rs
+++ b/review/common-2/cases.rs
@@ -1,10 +1,7 @@
 //! The cases, and the deployment that they share.
 
-mod budget;
-mod chunked;
 mod late_refusal;
 mod pieces;
-mod uploads;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -24,9 +21,6 @@
 /// Plays a case; returns whether its rule held.
 pub fn run(case: &str, sidecar: &str, is_troubled: bool) -> Result<bool, String> {
     match case {
-        "budget" => budget::run(sidecar, is_troubled),
-        "chunked" => chunked::run(sidecar, is_troubled),
-        "uploads" => uploads::run(sidecar, is_troubled),
         "pieces" => pieces::run(sidecar, is_troubled),
         "late-refusal" => late_refusal::run(sidecar, is_troubled),
         _ => Err(format!("unknown case {case}")),
--- a/review/common-2/client.rs
+++ b/review/common-2/client.rs
@@ -1,6 +1,6 @@
 //! The clients of a machine.
 
-use std::io::{self, Read, Write};
+use std::io::{self, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::time::{Duration, Instant};
@@ -10,9 +10,6 @@
 /// How long a client waits for a new connection.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// The size of the chunks of a body without a length.
-const CHUNK_BYTES: usize = 64 * 1024;
-
 /// How a request ended for its client.
 #[derive(Clone, Debug, PartialEq)]
 pub enum Outcome {
@@ -53,8 +50,6 @@
     None,
     /// A body of a size, sent with its length.
     Length(usize),
-    /// A body of a size, sent in chunks within a time.
-    Chunked(usize, Duration),
 }
 
 /// Returns a new request id.
@@ -111,7 +106,6 @@
         let length = match request.body {
             Body::None => String::new(),
             Body::Length(bytes) => format!("Content-Length: {bytes}\r\n"),
-            Body::Chunked(..) => "Transfer-Encoding: chunked\r\n".to_string(),
         };
         let head = format!(
             "{} {} HTTP/1.1\r\nHost: app.example\r\nRequest-Id: {}\r\nDeadline-Ms: {}\r\n{length}\r\n",
@@ -121,41 +115,7 @@
         match request.body {
             Body::None => Ok(()),
             Body::Length(bytes) => self.stream.write_all(&vec![b'y'; bytes]),
-            Body::Chunked(bytes, within) => self.send_chunks(bytes, within),
-        }
-    }
-
-    fn send_chunks(&mut self, bytes: usize, within: Duration) -> io::Result<()> {
-        let count = bytes.div_ceil(CHUNK_BYTES);
-        let mut chunk = format!("{CHUNK_BYTES:x}\r\n").into_bytes();
-        chunk.resize(chunk.len() + CHUNK_BYTES, b'y');
-        chunk.extend(b"\r\n");
-        let began = Instant::now();
-        for index in 0..count {
-            let due = within * index as u32 / count as u32;
-            std::thread::sleep(due.saturating_sub(began.elapsed()));
-            self.stream.write_all(&chunk)?;
-        }
-        self.stream.write_all(b"0\r\n\r\n")
-    }
-
-    /// Reads an answer slowly, until it is whole or the time budget is over; returns the bytes read.
-    pub fn read_slowly(&mut self, bytes_per_s: usize, until: Instant) -> usize {
-        let mut part = vec![0; bytes_per_s / 20];
-        let mut read = 0;
-        let _ = self
-            .stream
-            .set_read_timeout(Some(Duration::from_millis(50)));
-        while Instant::now() < until {
-            match self.stream.read(&mut part) {
-                Ok(0) => break,
-                Ok(count) => read += count,
-                Err(error) if is_timeout(&error) => {}
-                Err(_) => break,
-            }
-            std::thread::sleep(Duration::from_millis(50));
         }
-        read
     }
 }
 
