Add review case 7: a stopping daemon cuts a slow call

A stopping daemon takes the longest recent duration of a route, and a quarter more, for the longest possible one. It accepts a call that takes longer, and breaks it off with 502 before the end of its grace.

Change: the case, in the place of a dropped one.

--- a/review/build-2.sh
+++ b/review/build-2.sh
@@ -1,5 +1,5 @@
 #!/usr/bin/env bash
-# Builds the stand-ins that the scripts in review/6 to review/10 start. Needs no network.
+# Builds the stand-ins that the scripts in review/6 to review/8 start. Needs no network.
 set -euo pipefail
 cd "$(dirname "$0")/.."
 mkdir -p target/review-2
--- a/review/common-2/cases.rs
+++ b/review/common-2/cases.rs
@@ -2,6 +2,7 @@
 
 mod late_refusal;
 mod pieces;
+mod stop_cut;
 
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -21,6 +22,7 @@
 /// Plays a case; returns whether its rule held.
 pub fn run(case: &str, sidecar: &str, is_troubled: bool) -> Result<bool, String> {
     match case {
+        "stop-cut" => stop_cut::run(sidecar, is_troubled),
         "pieces" => pieces::run(sidecar, is_troubled),
         "late-refusal" => late_refusal::run(sidecar, is_troubled),
         _ => Err(format!("unknown case {case}")),
--- a/review/common-2/machine.rs
+++ b/review/common-2/machine.rs
@@ -169,6 +169,16 @@
         }
     }
 
+    /// Tells the process to stop, as the platform does: with SIGTERM.
+    pub fn terminate(&self) {
+        if let Some(process) = self.child.lock().unwrap().as_ref() {
+            note(&format!("{}: SIGTERM", self.name));
+            let _ = Command::new("kill")
+                .args(["-TERM", &process.id().to_string()])
+                .status();
+        }
+    }
+
     /// Ends the process.
     pub fn stop(&self) {
         self.is_stopping.store(true, Ordering::SeqCst);
