Review case 8: longer work, so that load doesn't hide the fault

Change: the upstream is slowed 9 times for 9 s (limits of the site: 12 times, 9 s), so its pieces arrive further apart.

--- a/review/common-2/cases/pieces.rs
+++ b/review/common-2/cases/pieces.rs
@@ -5,9 +5,8 @@
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant};
 
-use super::chunked::kept_client;
 use super::{Deployment, Route};
-use crate::client::{Body, Connection, Request, new_id};
+use crate::client::{Body, Connection, Outcome, Request, new_id};
 use crate::http::Message;
 use crate::machine::Machine;
 use crate::note;
@@ -31,16 +30,16 @@
 
 /// How long the upstream takes for an answer, usually and while it is slow.
 const WORK_MS: u64 = 800;
-const SLOW_WORK_MS: u64 = 4_000;
+const SLOW_WORK_MS: u64 = 7_200;
 
 /// The clients of each machine that read the history; each sends a request each `PERIOD`.
 const CLIENTS: usize = 60;
 const PERIOD: Duration = Duration::from_millis(4_800);
-const DEADLINE_MS: u64 = 6_000;
+const DEADLINE_MS: u64 = 8_000;
 
 const SLOW_FROM: Duration = Duration::from_secs(8);
-const SLOW_UNTIL: Duration = Duration::from_millis(14_500);
-const LENGTH: Duration = Duration::from_secs(25);
+const SLOW_UNTIL: Duration = Duration::from_secs(17);
+const LENGTH: Duration = Duration::from_secs(30);
 
 const KEPT_CLIENTS: usize = 12;
 const CUT_MAX: u64 = 3;
@@ -160,3 +159,37 @@
         std::thread::sleep(PERIOD.saturating_sub(sent.elapsed()));
     }
 }
+
+/// Sends one request after the other on a kept connection, and counts those that ran and whose
+/// connection closed without an answer.
+fn kept_client(machine: &Machine, upstream: &Upstream, is_over: &AtomicBool, cut: &AtomicU64) {
+    while !is_over.load(Ordering::SeqCst) {
+        let Ok(mut connection) = Connection::open(machine.outbound()) else {
+            std::thread::sleep(Duration::from_millis(100));
+            continue;
+        };
+        while !is_over.load(Ordering::SeqCst) {
+            let request = Request {
+                id: new_id(),
+                method: "GET",
+                path: "/balance/2000".into(),
+                deadline_ms: 6_000,
+                body: Body::None,
+            };
+            let is_kept = connection.answered > 0;
+            let outcome = connection.call(&request);
+            let ran = upstream.runs_of(&request.id);
+            note(&format!(
+                "{} balance {} {outcome:?}, run {ran} times",
+                machine.name, request.id
+            ));
+            if matches!(outcome, Outcome::Answered { .. }) {
+                continue;
+            }
+            if outcome == Outcome::Closed && is_kept && ran > 0 {
+                cut.fetch_add(1, Ordering::SeqCst);
+            }
+            break;
+        }
+    }
+}
