Review case 8: twelve times the work, requests closer together

Change: 0.6 s of work, 12 times as long while slow (limit of the site: 12 times, 9 s), and requests in three quarters of the period.

--- a/review/common-2/cases/pieces.rs
+++ b/review/common-2/cases/pieces.rs
@@ -29,16 +29,18 @@
 const PIECE_BYTES: usize = 30;
 
 /// How long the upstream takes for an answer, usually and while it is slow.
-const WORK_MS: u64 = 800;
+const WORK_MS: u64 = 600;
 const SLOW_WORK_MS: u64 = 7_200;
 
-/// The clients of each machine that read the history; each sends a request each `PERIOD`.
+/// The clients of each machine that read the history; each sends a request each `PERIOD`, in its
+/// first part.
 const CLIENTS: usize = 60;
 const PERIOD: Duration = Duration::from_millis(4_800);
+const PERIOD_PART: Duration = Duration::from_millis(3_600);
 const DEADLINE_MS: u64 = 8_000;
 
-const SLOW_FROM: Duration = Duration::from_secs(8);
-const SLOW_UNTIL: Duration = Duration::from_secs(17);
+const SLOW_FROM: Duration = Duration::from_secs(9);
+const SLOW_UNTIL: Duration = Duration::from_secs(18);
 const LENGTH: Duration = Duration::from_secs(30);
 
 const KEPT_CLIENTS: usize = 12;
@@ -115,7 +117,7 @@
         for index in 0..CLIENTS {
             let (machine, is_over) = (Arc::clone(machine), Arc::clone(&is_over));
             threads.push(std::thread::spawn(move || {
-                std::thread::sleep(PERIOD * index as u32 / CLIENTS as u32);
+                std::thread::sleep(PERIOD_PART * index as u32 / CLIENTS as u32);
                 reading_client(&machine, &is_over);
             }));
         }
