Give each sending of a request a connection that has not carried it

Cause: a request that its target refused may be sent to the same target again, and the pool gave the second sending the connection of the first. Both share their identifier, so a late copy of the first refusal is taken for the answer to the second sending.

Change: a connection keeps the hashes of the identifiers that it carried, and a request takes one that has not carried it. After 1,024 requests a connection is not used again, which bounds them. The connection of a pool has a file of its own now. So a response under an identifier belongs to the one sending that the connection carried.

--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -3,6 +3,12 @@
 //! A connection carries one exchange at a time and is reused only after an exchange that ended
 //! cleanly. On an error the pool reports whether nothing of the request was sent or it may have
 //! arrived.
+//!
+//! A response names its request by an identifier at most. A late copy of the response to the first
+//! sending of a request names the same one as the response to the second, so a connection carries no
+//! two requests with the same identifier.
+
+mod connection;
 
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
@@ -11,20 +17,17 @@
 use bytes::Bytes;
 use http_body_util::Full;
 use hyper::body::Incoming;
-use hyper::client::conn::http1::{Builder, SendRequest};
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
-use hyper_util::rt::TokioIo;
 use macro_rules_attribute::apply;
-use socket2::{SockRef, TcpKeepalive};
-use tokio::net::TcpStream;
-use tokio::task::AbortHandle;
 
 use super::end_check::is_refused;
 use super::lock;
 use super::response_budget::{ResponseBudget, read_body};
 use super::send_permit::SendPermit;
 use crate::derives::value;
+use connection::Connection;
+pub use connection::set_tcp_options;
 
 /// How long to wait until a connection is ready for reuse after its response was read.
 const READY_TIMEOUT: Duration = Duration::from_secs(2);
@@ -33,13 +36,6 @@
 /// request that follows a response at once would otherwise open a connection of its own.
 const RETURN_YIELDS_MAX: u32 = 3;
 
-/// The maximum size of the head of a response, and of the part of a body that is read at once. A head
-/// is parsed anew with each part of it, so that one without end costs time as well.
-const HEAD_BYTES_MAX: usize = 64 * 1024;
-
-/// The number of unanswered TCP keepalive probes after which a connection is dropped.
-const KEEPALIVE_PROBES: u32 = 2;
-
 /// The limits and timeouts of a pool.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct PoolSettings {
@@ -97,6 +93,8 @@
 pub struct Exchange<'a> {
     /// The request.
     pub request: Request<Full<Bytes>>,
+    /// The identifier by which the response names the request; `None` if it names none.
+    pub request_id: Option<&'a str>,
     /// Whether the request is idempotent, so that it may run more than once.
     pub is_idempotent: bool,
     /// Returns, from its headers, whether a response belongs to the request.
@@ -129,18 +127,6 @@
     since: Instant,
 }
 
-/// A connection; dropping it closes the socket.
-struct Connection {
-    sender: SendRequest<Full<Bytes>>,
-    driver: AbortHandle,
-}
-
-impl Drop for Connection {
-    fn drop(&mut self) {
-        self.driver.abort();
-    }
-}
-
 impl HttpPool {
     /// Creates an empty pool with a budget of its own, which one response may use up.
     pub fn new(to: SocketAddr, settings: PoolSettings) -> Self {
@@ -174,10 +160,10 @@
     /// Returns [`ExchangeError::NotSent`] if nothing of the request was sent, and
     /// [`ExchangeError::Lost`] if it may have arrived.
     pub async fn exchange(&self, exchange: Exchange<'_>) -> Result<Response<Bytes>, ExchangeError> {
-        let mut request = exchange.request;
+        let (mut request, request_id) = (exchange.request, exchange.request_id);
         let closed_count = lock(&self.state).closed_count;
         loop {
-            let idle = self.take_idle(exchange.is_idempotent).await;
+            let idle = self.take_idle(request_id, exchange.is_idempotent).await;
             let connection_use = match idle.is_some() {
                 true => ConnectionUse::Repeated,
                 false => ConnectionUse::First,
@@ -189,6 +175,9 @@
             if exchange.permit.is_some_and(|permit| !permit.is_valid()) {
                 return Err(ExchangeError::NotSent);
             }
+            if let Some(request_id) = request_id {
+                connection.record(request_id);
+            }
             match connection.sender.try_send_request(request).await {
                 Ok(response) if (exchange.matches_request)(response.headers(), connection_use) => {
                     let response = self.read_whole(response).await;
@@ -253,41 +242,47 @@
     }
 
     /// Takes an idle connection, or one that becomes idle within a few turns of the other tasks.
-    async fn take_idle(&self, is_idempotent: bool) -> Option<Connection> {
+    async fn take_idle(&self, request_id: Option<&str>, is_idempotent: bool) -> Option<Connection> {
         for _ in 0..RETURN_YIELDS_MAX {
-            let idle = self.pop_idle(is_idempotent);
+            let idle = self.pop_idle(request_id, is_idempotent);
             if idle.is_some() || lock(&self.state).returning == 0 {
                 return idle;
             }
             tokio::task::yield_now().await;
         }
-        self.pop_idle(is_idempotent)
+        self.pop_idle(request_id, is_idempotent)
     }
 
-    /// Removes and returns the most recently used connection. Returns `None` if there is
-    /// none, if it has been idle for too long or, for a request that is not idempotent, while reuse
-    /// is paused.
-    fn pop_idle(&self, is_idempotent: bool) -> Option<Connection> {
+    /// Removes and returns the most recently used connection that has not carried the request before.
+    /// Returns `None` if there is none, if it has been idle for too long or, for a request that is not
+    /// idempotent, while reuse is paused.
+    fn pop_idle(&self, request_id: Option<&str>, is_idempotent: bool) -> Option<Connection> {
         let mut state = lock(&self.state);
         let idle_max = self.settings.idle_max;
         state
             .idle
             .retain(|idle| !idle.connection.sender.is_closed() && idle.since.elapsed() < idle_max);
-        let newest = state.idle.last()?;
+        let newest = state.idle.iter().rposition(|idle| {
+            request_id.is_none_or(|request_id| !idle.connection.has_carried(request_id))
+        })?;
         if !is_idempotent {
             let is_reuse_paused = state
                 .reuse_paused_until
                 .is_some_and(|until| Instant::now() < until);
-            if is_reuse_paused || newest.since.elapsed() > self.settings.idle_max_non_idempotent {
+            let idle_for = state.idle[newest].since.elapsed();
+            if is_reuse_paused || idle_for > self.settings.idle_max_non_idempotent {
                 return None;
             }
         }
-        state.idle.pop().map(|idle| idle.connection)
+        Some(state.idle.remove(newest).connection)
     }
 
-    /// Returns a connection to the pool once it is ready; drops it if the other side closes it, or if
-    /// the connections were closed since `closed_count`.
+    /// Returns a connection to the pool once it is ready; drops it if it is not reusable, if the other
+    /// side closes it, or if the connections were closed since `closed_count`.
     fn put_back(&self, mut connection: Connection, closed_count: u64) {
+        if !connection.is_reusable() {
+            return;
+        }
         let state = Arc::clone(&self.state);
         let count_max = self.settings.idle_count_max;
         lock(&state).returning += 1;
@@ -312,46 +307,9 @@
     }
 
     async fn connect(&self) -> Result<Connection, ExchangeError> {
-        let connecting = TcpStream::connect(self.to);
-        let connected = tokio::time::timeout(self.settings.connect_timeout, connecting).await;
-        let Ok(Ok(stream)) = connected else {
-            return Err(ExchangeError::NotSent);
-        };
-        set_tcp_options(&stream, self.settings.keepalive_period);
-        let handshake = Builder::new()
-            .max_buf_size(HEAD_BYTES_MAX)
-            .handshake(TokioIo::new(stream));
-        let Ok((sender, connection)) = handshake.await else {
-            return Err(ExchangeError::NotSent);
-        };
-        let driver = tokio::spawn(async move {
-            if let Err(error) = connection.await {
-                log::debug!(target: "dragonflylug", "pooled connection failed: {error}");
-            }
-        });
-        Ok(Connection {
-            sender,
-            driver: driver.abort_handle(),
-        })
-    }
-}
-
-/// Sets the TCP options with which a connection detects that the other side is gone.
-pub fn set_tcp_options(stream: &TcpStream, keepalive_period: Duration) {
-    let socket = SockRef::from(stream);
-    let probes = TcpKeepalive::new()
-        .with_time(keepalive_period)
-        .with_interval(keepalive_period)
-        .with_retries(KEEPALIVE_PROBES);
-    let user_timeout = keepalive_period * (KEEPALIVE_PROBES + 1);
-    let results = [
-        stream.set_nodelay(true),
-        socket.set_tcp_keepalive(&probes),
-        socket.set_tcp_user_timeout(Some(user_timeout)),
-    ];
-    for result in results {
-        if let Err(error) = result {
-            log::debug!(target: "dragonflylug", "cannot set a TCP option: {error}");
-        }
+        let settings = &self.settings;
+        let (timeout, keepalive_period) = (settings.connect_timeout, settings.keepalive_period);
+        let connection = Connection::open(self.to, timeout, keepalive_period).await;
+        connection.ok_or(ExchangeError::NotSent)
     }
 }
--- a/src/host/target.rs
+++ b/src/host/target.rs
@@ -107,6 +107,7 @@
             |answer: &HeaderMap, _: ConnectionUse| belongs_to(answer, request_id.as_deref());
         let exchange = Exchange {
             request: http,
+            request_id: request_id.as_deref(),
             is_idempotent: request.is_idempotent,
             matches_request: &matches_request,
             permit: Some(request.permit),
--- a/tests/pool.rs
+++ b/tests/pool.rs
@@ -48,8 +48,16 @@
 }
 
 async fn try_exchange(pool: &HttpPool) -> Result<Response<Bytes>, ExchangeError> {
+    try_exchange_as(pool, None).await
+}
+
+async fn try_exchange_as(
+    pool: &HttpPool,
+    request_id: Option<&str>,
+) -> Result<Response<Bytes>, ExchangeError> {
     let exchange = Exchange {
         request: Request::get("/").body(Full::<Bytes>::default()).unwrap(),
+        request_id,
         is_idempotent: true,
         matches_request: &|_, _| true,
         permit: None,
@@ -139,3 +147,38 @@
     }
     assert_eq!(accepted.load(Ordering::Relaxed), 100);
 }
+
+/// Sends requests one after the other on a pool and returns the number of connections that it opened.
+fn count_connections(request_ids: impl Iterator<Item = u32>) -> usize {
+    let runtime = tokio::runtime::Builder::new_current_thread()
+        .enable_all()
+        .build()
+        .unwrap();
+    runtime.block_on(async {
+        let (address, accepted) = start_server(1).await;
+        let pool = HttpPool::new(address, PoolSettings::default());
+        for request_id in request_ids {
+            let response = try_exchange_as(&pool, Some(&request_id.to_string())).await;
+            assert_eq!(response.unwrap().status(), 200);
+        }
+        accepted.load(Ordering::Relaxed)
+    })
+}
+
+fn check_connections((request_ids, expected): (Vec<u32>, usize)) {
+    assert_eq!(count_connections(request_ids.into_iter()), expected);
+}
+
+// Guards against two responses on one connection that name the same request, of which one may be a late
+// copy of the other.
+cases! { check_connections:
+    connection_carries_two_sendings_of_a_request => (vec![1, 1, 1], 3),
+    connection_carries_a_second_sending_after_other_requests => (vec![1, 2, 3, 1, 2], 2),
+    request_that_was_not_sent_before_opens_a_connection => ((0..500).collect(), 1),
+}
+
+/// Guards against a connection whose identifiers take up more and more memory.
+#[test]
+fn identifiers_of_a_connection_are_kept_without_a_bound() {
+    assert_eq!(count_connections(0..3_000), 3);
+}
--- a/tests/send_permit.rs
+++ b/tests/send_permit.rs
@@ -40,6 +40,7 @@
     );
     let exchange = Exchange {
         request: Request::get("/").body(Full::new(Bytes::new())).unwrap(),
+        request_id: None,
         is_idempotent: true,
         matches_request: &|_, _| true,
         permit: Some(SendPermit::new(valid)),
