Take no response for an answer whose status HTTP does not have

Cause: the HTTP library rejects 000, but accepts 600 to 999, and gives 101 as a final response. The pool, the entry daemon and the caller library passed these on as answers.

Change: Answer::STATUSES is checked wherever a response becomes an answer; any other response is lost, so "may have run".

--- a/src/client/http_codec.rs
+++ b/src/client/http_codec.rs
@@ -67,9 +67,12 @@
 ///
 /// A response without a verdict header is taken for the answer of a target that was called
 /// directly, as in the demo without daemons. It counts as a complete answer unless its status is a
-/// server error.
+/// server error or none that an answer may have.
 pub(super) async fn decode_response(response: Response<Incoming>, remaining: Duration) -> Reply {
     let (head, body) = response.into_parts();
+    if !Answer::STATUSES.contains(&head.status.as_u16()) {
+        return build_reply(&head.headers, broken_answer());
+    }
     let body = match tokio::time::timeout(remaining, body.collect()).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => return build_reply(&head.headers, broken_answer()),
@@ -102,8 +105,8 @@
     }
 }
 
-/// The verdict on a response that was cut off, has an unknown verdict, or is a server error without
-/// a verdict.
+/// The verdict on a response that was cut off, has an unknown verdict or a status that no answer may
+/// have, or is a server error without a verdict.
 fn broken_answer() -> Verdict {
     Verdict::may_have_run(DoubtReason::BrokenAnswer, 0)
 }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -26,6 +26,7 @@
 use super::response_budget::{ResponseBudget, read_body};
 use super::send_permit::SendPermit;
 use crate::derives::value;
+use crate::request::Answer;
 use connection::Connection;
 pub use connection::set_tcp_options;
 
@@ -179,7 +180,10 @@
                 connection.record(request_id);
             }
             match connection.sender.try_send_request(request).await {
-                Ok(response) if (exchange.matches_request)(response.headers(), connection_use) => {
+                Ok(response)
+                    if is_final(&response)
+                        && (exchange.matches_request)(response.headers(), connection_use) =>
+                {
                     let response = self.read_whole(response).await;
                     match response {
                         Ok(_) => self.put_back(connection, closed_count),
@@ -215,8 +219,10 @@
     ) -> Result<Response<Bytes>, ExchangeError> {
         let mut connection = self.connect().await?;
         let response = connection.sender.send_request(request).await;
-        let response = response.map_err(|_| ExchangeError::Lost)?;
-        self.read_whole(response).await
+        match response {
+            Ok(response) if is_final(&response) => self.read_whole(response).await,
+            _ => Err(ExchangeError::Lost),
+        }
     }
 
     /// Returns whether a new connection is refused, so that nothing listens at the address.
@@ -313,3 +319,7 @@
         connection.ok_or(ExchangeError::NotSent)
     }
 }
+
+fn is_final<T>(response: &Response<T>) -> bool {
+    Answer::STATUSES.contains(&response.status().as_u16())
+}
--- a/src/request.rs
+++ b/src/request.rs
@@ -1,5 +1,7 @@
 //! Requests and answers that callers, daemons and targets exchange.
 
+use std::ops::RangeInclusive;
+
 use bytes::Bytes;
 use macro_rules_attribute::apply;
 
@@ -49,6 +51,9 @@
 }
 
 impl Answer {
+    /// The statuses that an answer may have. HTTP has no others, apart from those of interim responses.
+    pub const STATUSES: RangeInclusive<u16> = 200..=599;
+
     /// Creates an answer and computes its digest.
     pub fn new(status: u16, headers: Vec<Header>, body: Bytes) -> Self {
         let digest = Self::digest_of(status, &body);
@@ -60,9 +65,11 @@
         }
     }
 
-    /// Returns whether the digest matches, so status and body are those that the target sent.
+    /// Returns whether the status is one of an answer and the digest matches, so that status and body
+    /// are those that the target sent.
     pub fn is_intact(&self) -> bool {
-        self.digest == Self::digest_of(self.status, &self.body)
+        Self::STATUSES.contains(&self.status)
+            && self.digest == Self::digest_of(self.status, &self.body)
     }
 
     fn digest_of(status: u16, body: &[u8]) -> u64 {
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -24,6 +24,8 @@
 #[derive(Clone, Copy)]
 enum ScriptedReply {
     Ran,
+    /// An answer with this status, as a target that is called directly sends it.
+    Direct(u16),
     NotRun(&'static str, u32),
     MayHaveRun(&'static str),
     Tickets(&'static str),
@@ -31,7 +33,7 @@
     Close,
 }
 
-use ScriptedReply::{Close, MayHaveRun, NotRun, Ran, Tickets};
+use ScriptedReply::{Close, Direct, MayHaveRun, NotRun, Ran, Tickets};
 
 const ONE_TICKET: ScriptedReply = Tickets("00000000000000aa-1");
 const REFUSED: ScriptedReply = NotRun("overload", 1);
@@ -89,6 +91,7 @@
     let response = match script[index.min(script.len() - 1)] {
         Close => return Err(std::io::Error::other("closed")),
         Ran => builder.header(headers::VERDICT, "ran"),
+        Direct(status) => builder.status(status),
         NotRun(reason, retry_after_ms) => builder
             .status(503)
             .header(headers::VERDICT, "not-run")
@@ -245,6 +248,10 @@
         verdict: "may-have-run", reason: "connection_lost",
         header: headers::REPEAT, header_values: &["-", "true"],
     },
+    a_status_that_is_none_of_http_is_no_answer => ScriptedCase {
+        script: &[Direct(600), Direct(200)], request: lookup, verdict: "ran", reason: "",
+        header: headers::REPEAT, header_values: &["-", "true"],
+    },
     without_any_reply_an_idempotent_request_is_retried_once => ScriptedCase {
         script: &[Close], request: lookup, verdict: "may-have-run", reason: "connection_lost",
         header: headers::RETRIES, header_values: &["-", "-"],
