Decide late in a stop by the deadline, not by recent durations

Cause: the longest recent duration of a route, and a quarter more, counted as the longest possible one at any time of a stop. One call in forty took seven times as long.

Change: recent durations decide in the first 2.5 s of a stop (at most half of it), in which callers still come and over half of the time is left; after that a request is passed on only if its deadline lies before the end. So it is answered by then, or refused in time as not run.

--- a/src/calls/entry/stopping.rs
+++ b/src/calls/entry/stopping.rs
@@ -2,7 +2,7 @@
 
 use super::shed::RETRY_AFTER_MIN_MS;
 use super::{Entry, EntryCall};
-use crate::calls::stop_limit::Certainty;
+use crate::calls::stop_limit::Estimate;
 use crate::ids::CallKey;
 use crate::kernel::Context;
 use crate::verdict::{DoubtReason, Refusal, RefusalReason, Verdict};
@@ -47,17 +47,17 @@
             .is_some_and(|since_us| now_us >= since_us + refuse_us)
     }
 
-    /// Returns whether the process may end before the answer to an attempt that is sent now. A child
-    /// call can go to no other daemon, so it is refused only if recent requests of its kind took so
-    /// long.
+    /// Returns whether the process may end before the answer to an attempt that is sent now. The
+    /// estimate for clients is the less careful one: until they learn of the stop, a refusal brings
+    /// them back to this daemon.
     pub(super) fn ends_before_answer(&self, now_us: u64, call: &EntryCall) -> bool {
-        let certainty = match call.arriving {
-            None => Certainty::Sure,
-            Some(_) => Certainty::Likely,
+        let estimate = match call.arriving {
+            None => Estimate::Longest,
+            Some(_) => Estimate::NineOfTen,
         };
         let left_us = call.plan.deadline_us.saturating_sub(now_us);
         self.stop_limit
-            .ends_before(now_us, call.kind(), left_us, certainty)
+            .ends_before(now_us, call.kind(), left_us, estimate)
     }
 }
 
--- a/src/calls/guard/drain.rs
+++ b/src/calls/guard/drain.rs
@@ -3,7 +3,7 @@
 use super::{Guard, REFUSE_QUEUED_TIMER, STOP_CHECK_TIMER, Stage};
 use crate::admission::{self, Admission, CancelOutcome};
 use crate::calls::entry::{self, Entry};
-use crate::calls::stop_limit::Certainty;
+use crate::calls::stop_limit::Estimate;
 use crate::ids::{CallKey, WorkKind};
 use crate::kernel::{Context, Effect, StateChange};
 use crate::run_once::{self, RunOnce};
@@ -88,7 +88,7 @@
         let kind = WorkKind::of_route(guard_call.peer_call.route.as_ref());
         let left_us = guard_call.deadline_us.saturating_sub(now_us);
         self.stop_limit
-            .ends_before(now_us, kind, left_us, Certainty::Sure)
+            .ends_before(now_us, kind, left_us, Estimate::Longest)
     }
 
     /// Stops the daemon once nothing is in flight and peers have had time to learn of the stop.
--- a/src/calls/stop_limit.rs
+++ b/src/calls/stop_limit.rs
@@ -2,6 +2,10 @@
 //!
 //! A request that is under way when the process ends gets no answer, although it may have run. One
 //! that is refused in time has not run, so it can be sent to another daemon.
+//!
+//! How long earlier requests took is an estimate only: any request may take until its deadline.
+//! Estimates decide while callers switch to other daemons, when nearly all of the time is left.
+//! After that only the deadline does.
 
 use hdrhistogram::Histogram;
 
@@ -26,27 +30,37 @@
 /// The time before the limit by which an answer must be there, so that it can be delivered.
 const DELIVERY_US: u64 = 200_000;
 
+/// How long after the announcement of a stop estimates decide, but at most for half of its time limit.
+const ESTIMATES_US: u64 = 2_500_000;
+
 /// When this process ends at the latest, and how long requests took lately.
 #[derive(Default)]
 pub(super) struct StopLimit {
-    ends_us: Option<u64>,
+    stop: Option<AnnouncedStop>,
     durations: SortedMap<WorkKind, RecentDurations>,
 }
 
-/// How careful an estimate of a duration must be.
+/// A stop that was announced.
+#[derive(Clone, Copy)]
+struct AnnouncedStop {
+    ends_us: u64,
+    estimates_until_us: u64,
+}
+
+/// Which of the recent durations counts as the estimate.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub(super) enum Certainty {
-    /// Nine of ten requests took no longer.
-    Likely,
-    /// No request took longer.
-    Sure,
+pub(super) enum Estimate {
+    /// The one that nine of ten requests did not exceed.
+    NineOfTen,
+    /// The longest one.
+    Longest,
 }
 
-impl Certainty {
+impl Estimate {
     fn quantile(self) -> f64 {
         match self {
-            Self::Likely => 0.9,
-            Self::Sure => 1.0,
+            Self::NineOfTen => 0.9,
+            Self::Longest => 1.0,
         }
     }
 }
@@ -54,7 +68,10 @@
 impl StopLimit {
     /// Records that the process ends within a time from now.
     pub(super) fn announce(&mut self, now_us: u64, time_limit_us: u64) {
-        self.ends_us.get_or_insert(now_us + time_limit_us);
+        self.stop.get_or_insert(AnnouncedStop {
+            ends_us: now_us + time_limit_us,
+            estimates_until_us: now_us + ESTIMATES_US.min(time_limit_us / 2),
+        });
     }
 
     /// Records how long a request took that was answered.
@@ -69,26 +86,32 @@
     }
 
     /// Returns whether a request may be under way when the process ends, by the time until its
-    /// deadline and by how long requests of its kind took lately. Without such durations the time
-    /// until the deadline counts.
+    /// deadline. As long as estimates decide, it counts as finished earlier if recent requests of its
+    /// kind were.
     pub(super) fn ends_before(
         &self,
         now_us: u64,
         kind: WorkKind,
         left_us: u64,
-        certainty: Certainty,
+        estimate: Estimate,
     ) -> bool {
-        let Some(ends_us) = self.ends_us else {
+        let Some(stop) = self.stop else {
             return false;
         };
-        let recent_us = self
-            .durations
-            .get(&kind)
-            .and_then(|recent| recent.quantile_us(now_us, certainty));
-        let needed_us = recent_us.map_or(left_us, |recent_us| {
-            left_us.min(recent_us + recent_us * MARGIN_PERCENT / 100)
-        });
-        now_us + needed_us > ends_us.saturating_sub(DELIVERY_US)
+        let mut needed_us = left_us;
+        if now_us < stop.estimates_until_us
+            && let Some(estimated_us) = self.estimate_us(now_us, kind, estimate)
+        {
+            needed_us = needed_us.min(estimated_us);
+        }
+        now_us + needed_us > stop.ends_us.saturating_sub(DELIVERY_US)
+    }
+
+    /// Returns how long a request may take by the recent ones of its kind; `None` if there are none.
+    fn estimate_us(&self, now_us: u64, kind: WorkKind, estimate: Estimate) -> Option<u64> {
+        let recent = self.durations.get(&kind)?;
+        let recent_us = recent.quantile_us(now_us, estimate.quantile())?;
+        Some(recent_us + recent_us * MARGIN_PERCENT / 100)
     }
 }
 
@@ -123,13 +146,12 @@
     }
 
     /// Returns a quantile of the durations that are remembered; `None` if there are none.
-    fn quantile_us(&self, now_us: u64, certainty: Certainty) -> Option<u64> {
+    fn quantile_us(&self, now_us: u64, quantile: f64) -> Option<u64> {
         let age_us = now_us.saturating_sub(self.current_since_us);
         let is_empty = self.current.is_empty() && self.previous.is_empty();
         if is_empty || age_us >= 2 * MEMORY_US {
             return None;
         }
-        let quantile = certainty.quantile();
         let current_ms = self.current.value_at_quantile(quantile);
         let previous_ms = match age_us >= MEMORY_US {
             true => 0,
