Mark a link as closed when its peer closes it

Callers saw: a payment answered 502 in calm traffic, in the millisecond in which it was sent; an idempotent request spent a retry.

Cause: the task of a link's connection ended when the other daemon stopped, but the link went on to count as usable. The next request took it, could not be handed over and counted as lost.

The new case of tests/links.rs fails before the change with Lost.

Change: the end of the task marks the connection as not usable, so that the next request opens a new one. What is under way then stays lost.

--- a/src/host/peer/link.rs
+++ b/src/host/peer/link.rs
@@ -8,7 +8,7 @@
 
 use bytes::{Bytes, BytesMut};
 use rand::Rng;
-use tarpc::client::RpcError;
+use tarpc::client::{NewClient, RpcError};
 use tarpc::context::Context;
 use tarpc::tokio_serde::formats::Bincode;
 use tokio::net::TcpStream;
@@ -258,8 +258,16 @@
         let mut config = tarpc::client::Config::default();
         config.max_in_flight_requests = IN_FLIGHT_MAX;
         config.pending_request_buffer = IN_FLIGHT_MAX;
-        let client = PeerRpcClient::new(config, transport).spawn();
+        let NewClient { client, dispatch } = PeerRpcClient::new(config, transport);
         let (last_received, _) = watch::channel(Some(Instant::now()));
+        let ended = last_received.clone();
+        tokio::spawn(async move {
+            if let Err(error) = dispatch.await {
+                log::debug!(target: "dragonflylug", "a link failed: {error}");
+            }
+            // The peer closed the connection; a request that took it now would count as lost.
+            ended.send_replace(None);
+        });
         Connection {
             client,
             last_received,
--- a/tests/links.rs
+++ b/tests/links.rs
@@ -8,6 +8,8 @@
 mod sized_answers;
 
 use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
 
 use dragonflylug::host::PeerTransport;
 use dragonflylug::kernel::LinkError;
@@ -18,10 +20,14 @@
 use sized_answers::{REQUEST_TIMEOUT, peer_links, sized_request, start_sized_answer_node};
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::Notify;
 
 /// The body size of a large response, which is sent in chunks.
 const LARGE_BYTES: usize = 12 * 1024 * 1024;
 
+/// The time after which the close of a connection has reached the other side.
+const CLOSE_TIME: Duration = Duration::from_millis(50);
+
 fn body_bytes(result: Result<PeerResponse, LinkError>) -> usize {
     let Ok(PeerResponse::Call(reply)) = result else {
         panic!("{result:?}")
@@ -130,6 +136,36 @@
     assert!(!forwarding.is_finished(), "the link was closed");
 }
 
+/// Forwards connections to an address, each until `close` is notified.
+async fn forward_until_closed(listener: TcpListener, to: SocketAddr, close: Arc<Notify>) {
+    loop {
+        let (mut caller, _) = listener.accept().await.unwrap();
+        let mut node = TcpStream::connect(to).await.unwrap();
+        tokio::select! {
+            _ = tokio::io::copy_bidirectional(&mut caller, &mut node) => {}
+            () = close.notified() => {}
+        }
+    }
+}
+
+/// Guards against a request that counts as sent on a connection which the other daemon closed when it
+/// stopped, so that it is lost although it was never sent.
+#[tokio::test]
+async fn a_request_is_lost_on_a_link_that_its_peer_closed() {
+    let node = start_sized_answer_node().await;
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let relay = listener.local_addr().unwrap();
+    let close = Arc::new(Notify::new());
+    tokio::spawn(forward_until_closed(listener, node, Arc::clone(&close)));
+    let links = peer_links();
+    for _ in 0..5 {
+        let request = links.request(relay, sized_request(10), REQUEST_TIMEOUT);
+        assert_eq!(body_bytes(request.await), 10);
+        close.notify_one();
+        tokio::time::sleep(CLOSE_TIME).await;
+    }
+}
+
 #[test]
 fn an_altered_answer_is_never_returned_to_a_caller() {
     let config = TargetConfig {
