Give up a response of over 64 MiB in the caller library

Cause: the caller library collected the body of a response without a limit.

Evidence: the new case of tests/client.rs fails with the limit set out of reach: 6,715,055,613 bytes of one response were taken.

Change: a larger body counts as broken, so "may have run".

--- a/src/client/http_codec.rs
+++ b/src/client/http_codec.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
-use http_body_util::{BodyExt, Full};
+use http_body_util::{BodyExt, Full, Limited};
 use hyper::body::Incoming;
 use hyper::header::HeaderMap;
 use hyper::{Request, Response};
@@ -17,6 +17,9 @@
 use crate::run_once::Ticket;
 use crate::verdict::{DoubtReason, RefusalReason, Verdict};
 
+/// The maximum size of the body of a response; a larger one counts as broken.
+const RESPONSE_BYTES_MAX: usize = 64 * 1024 * 1024;
+
 /// Encodes one attempt; returns `None` if the method, the path or a header is malformed.
 pub(super) fn encode_request(
     daemon: SocketAddr,
@@ -73,7 +76,8 @@
     if !Answer::STATUSES.contains(&head.status.as_u16()) {
         return build_reply(&head.headers, broken_answer());
     }
-    let body = match tokio::time::timeout(remaining, body.collect()).await {
+    let body = Limited::new(body, RESPONSE_BYTES_MAX).collect();
+    let body = match tokio::time::timeout(remaining, body).await {
         Ok(Ok(body)) => body.to_bytes(),
         Ok(Err(_)) => return build_reply(&head.headers, broken_answer()),
         Err(_) => {
@@ -105,7 +109,7 @@
     }
 }
 
-/// The verdict on a response that was cut off, has an unknown verdict or a status that no answer may
+/// The verdict on a response that was cut off, is too large, has an unknown verdict or a status that no answer may
 /// have, or is a server error without a verdict.
 fn broken_answer() -> Verdict {
     Verdict::may_have_run(DoubtReason::BrokenAnswer, 0)
--- a/tests/client.rs
+++ b/tests/client.rs
@@ -18,6 +18,7 @@
 use hyper::service::service_fn;
 use hyper::{HeaderMap, Request, Response};
 use hyper_util::rt::TokioIo;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpListener;
 
 /// The reaction of the daemon to one request.
@@ -287,3 +288,38 @@
     let tickets = daemon.header(headers::TICKET);
     assert_eq!(tickets, ["-", "00000000000000aa-2", "00000000000000aa-1"]);
 }
+
+/// The maximum number of bytes of one response that are read: what the client keeps, and the buffers of
+/// the system.
+const ENDLESS_BYTES_MAX: usize = 96 * 1024 * 1024;
+
+/// Answers each connection with a body without end; returns the bytes that the first one took.
+async fn serve_endless_body(listener: TcpListener) -> usize {
+    let (mut stream, _) = listener.accept().await.unwrap();
+    let _ = stream.read(&mut [0; 4_096]).await;
+    let head = format!("HTTP/1.1 200 OK\r\n{}: ran\r\n\r\n", headers::VERDICT);
+    let mut sent_bytes = 0;
+    let part = vec![b'x'; 256 * 1024];
+    if stream.write_all(head.as_bytes()).await.is_err() {
+        return 0;
+    }
+    while let Ok(count) = stream.write(&part).await {
+        sent_bytes += count;
+    }
+    sent_bytes
+}
+
+/// Guards against a response without end that is kept until the memory is used up.
+#[tokio::test]
+async fn body_without_end_is_kept() {
+    let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
+    let address = listener.local_addr().unwrap();
+    let serving = tokio::spawn(serve_endless_body(listener));
+    let outcome = client(&[address]).call(&lookup()).await;
+    assert_eq!(outcome.verdict.name(), "may-have-run");
+    let sent_bytes = serving.await.unwrap();
+    assert!(
+        sent_bytes < ENDLESS_BYTES_MAX,
+        "{sent_bytes} bytes were taken"
+    );
+}
