--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -161,19 +161,17 @@
     /// Returns [`ExchangeError::NotSent`] if nothing of the request was sent, and
     /// [`ExchangeError::Lost`] if it may have arrived.
     pub async fn exchange(&self, exchange: Exchange<'_>) -> Result<Response<Bytes>, ExchangeError> {
-        let (mut request, request_id) = (exchange.request, exchange.request_id);
+        let Exchange {
+            mut request,
+            request_id,
+            is_idempotent,
+            matches_request,
+            permit,
+        } = exchange;
         let closed_count = lock(&self.state).closed_count;
         loop {
-            let idle = self.take_idle(request_id, exchange.is_idempotent).await;
-            let connection_use = match idle.is_some() {
-                true => ConnectionUse::Repeated,
-                false => ConnectionUse::First,
-            };
-            let mut connection = match idle {
-                Some(connection) => connection,
-                None => self.connect().await?,
-            };
-            if exchange.permit.is_some_and(|permit| !permit.is_valid()) {
+            let (mut connection, connection_use) = self.acquire(request_id, is_idempotent).await?;
+            if permit.is_some_and(|permit| !permit.is_valid()) {
                 return Err(ExchangeError::NotSent);
             }
             if let Some(request_id) = request_id {
@@ -182,31 +180,46 @@
             match connection.sender.try_send_request(request).await {
                 Ok(response)
                     if is_final(&response)
-                        && (exchange.matches_request)(response.headers(), connection_use) =>
+                        && matches_request(response.headers(), connection_use) =>
                 {
-                    let response = self.read_whole(response).await;
-                    match response {
-                        Ok(_) => self.put_back(connection, closed_count),
-                        Err(_) => self.pause_reuse(),
-                    }
-                    return response;
-                }
-                Ok(_) => {
-                    self.pause_reuse();
-                    return Err(ExchangeError::Lost);
+                    return self.finish(connection, closed_count, response).await;
                 }
+                Ok(_) => return Err(self.lost()),
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if connection_use == ConnectionUse::Repeated => request = unsent,
                     Some(_) => return Err(ExchangeError::NotSent),
-                    None => {
-                        self.pause_reuse();
-                        return Err(ExchangeError::Lost);
-                    }
+                    None => return Err(self.lost()),
                 },
             }
         }
     }
 
+    /// Takes an idle connection, or opens one.
+    async fn acquire(
+        &self,
+        request_id: Option<&str>,
+        is_idempotent: bool,
+    ) -> Result<(Connection, ConnectionUse), ExchangeError> {
+        if let Some(connection) = self.take_idle(request_id, is_idempotent).await {
+            return Ok((connection, ConnectionUse::Repeated));
+        }
+        Ok((self.connect().await?, ConnectionUse::First))
+    }
+
+    /// Reads the whole response and returns its connection to the pool.
+    async fn finish(
+        &self,
+        connection: Connection,
+        closed_count: u64,
+        response: Response<Incoming>,
+    ) -> Result<Response<Bytes>, ExchangeError> {
+        let Ok(response) = self.read_whole(response).await else {
+            return Err(self.lost());
+        };
+        self.put_back(connection, closed_count);
+        Ok(response)
+    }
+
     /// Sends a request on a connection of its own, which is closed after the response: what it
     /// returns is no late copy of an earlier response.
     ///
@@ -307,9 +320,11 @@
         });
     }
 
-    fn pause_reuse(&self) {
+    /// Pauses the reuse of connections, and returns the error of an exchange that may have arrived.
+    fn lost(&self) -> ExchangeError {
         let until = Instant::now() + self.settings.reuse_pause;
         lock(&self.state).reuse_paused_until = Some(until);
+        ExchangeError::Lost
     }
 
     async fn connect(&self) -> Result<Connection, ExchangeError> {
