Log a response that is none to its request, and say when estimates decide

Cause: the pool dropped such a response without a line; three comments were imprecise or too long.

Change: a line at the debug level, and the comments. No other change.

--- a/src/calls/stop_limit.rs
+++ b/src/calls/stop_limit.rs
@@ -4,8 +4,8 @@
 //! that is refused in time has not run, so it can be sent to another daemon.
 //!
 //! How long earlier requests took is an estimate only: any request may take until its deadline.
-//! Estimates decide while callers switch to other daemons, when nearly all of the time is left.
-//! After that only the deadline does.
+//! Estimates decide while callers switch to other daemons, when over half of the time is left. After
+//! that only the deadline does.
 
 use hdrhistogram::Histogram;
 
--- a/src/client/http_codec.rs
+++ b/src/client/http_codec.rs
@@ -109,8 +109,8 @@
     }
 }
 
-/// The verdict on a response that was cut off, is too large, has an unknown verdict or a status that no answer may
-/// have, or is a server error without a verdict.
+/// The verdict on a response that was cut off, is too large, has an unknown verdict or a status that no
+/// answer may have, or is a server error without a verdict.
 fn broken_answer() -> Verdict {
     Verdict::may_have_run(DoubtReason::BrokenAnswer, 0)
 }
--- a/src/host/pool.rs
+++ b/src/host/pool.rs
@@ -4,9 +4,9 @@
 //! cleanly. On an error the pool reports whether nothing of the request was sent or it may have
 //! arrived.
 //!
-//! A response names its request by an identifier at most. A late copy of the response to the first
-//! sending of a request names the same one as the response to the second, so a connection carries no
-//! two requests with the same identifier.
+//! A response can name its request only by an identifier, which all sendings of the request share. A
+//! late copy of the response to one sending would pass for the response to the next, so a connection
+//! carries no two requests with the same identifier.
 
 mod connection;
 
@@ -184,7 +184,11 @@
                 {
                     return self.finish(connection, closed_count, response).await;
                 }
-                Ok(_) => return Err(self.lost()),
+                Ok(response) => {
+                    let status = response.status();
+                    log::debug!(target: "dragonflylug", "dropped a response with status {status} that is none to its request");
+                    return Err(self.lost());
+                }
                 Err(mut error) => match error.take_message() {
                     Some(unsent) if connection_use == ConnectionUse::Repeated => request = unsent,
                     Some(_) => return Err(ExchangeError::NotSent),
@@ -335,6 +339,7 @@
     }
 }
 
+/// Returns whether a response has a status that an answer may have.
 fn is_final<T>(response: &Response<T>) -> bool {
     Answer::STATUSES.contains(&response.status().as_u16())
 }
