--- a/tests/stop_limit.rs
+++ b/tests/stop_limit.rs
@@ -222,8 +222,8 @@
 const QUEUED_AFTER_US: u64 = 2_400_000;
 const ROOM_AFTER_US: u64 = 2_650_000;
 
-/// Guards against a queued request of a peer that starts late in a stop, takes longer than its like did and
-/// is cut.
+/// Guards against a queued request of a peer that starts late in a stop, takes longer than its like did
+/// and is cut.
 #[test]
 fn queued_request_of_a_peer_is_sent_late_in_the_stop() {
     let mut network = network_with(1);
