--- a/tests/links.rs
+++ b/tests/links.rs
@@ -9,7 +9,6 @@
 
 use std::net::SocketAddr;
 use std::sync::Arc;
-use std::time::Duration;
 
 use dragonflylug::host::PeerTransport;
 use dragonflylug::kernel::LinkError;
@@ -25,9 +24,6 @@
 /// The body size of a large response, which is sent in chunks.
 const LARGE_BYTES: usize = 12 * 1024 * 1024;
 
-/// The time after which the close of a connection has reached the other side.
-const CLOSE_TIME: Duration = Duration::from_millis(50);
-
 fn body_bytes(result: Result<PeerResponse, LinkError>) -> usize {
     let Ok(PeerResponse::Call(reply)) = result else {
         panic!("{result:?}")
@@ -136,15 +132,24 @@
     assert!(!forwarding.is_finished(), "the link was closed");
 }
 
-/// Forwards connections to an address, each until `close` is notified.
-async fn forward_until_closed(listener: TcpListener, to: SocketAddr, close: Arc<Notify>) {
+/// Forwards connections to an address, each until `close` is notified; then closes it as a stopping daemon
+/// does, and notifies `closed` once the other side has closed it too.
+async fn forward_until_closed(
+    listener: TcpListener,
+    to: SocketAddr,
+    close: Arc<Notify>,
+    closed: Arc<Notify>,
+) {
     loop {
         let (mut caller, _) = listener.accept().await.unwrap();
         let mut node = TcpStream::connect(to).await.unwrap();
         tokio::select! {
-            _ = tokio::io::copy_bidirectional(&mut caller, &mut node) => {}
+            _ = tokio::io::copy_bidirectional(&mut caller, &mut node) => continue,
             () = close.notified() => {}
         }
+        caller.shutdown().await.unwrap();
+        let _ = caller.read_to_end(&mut Vec::new()).await;
+        closed.notify_one();
     }
 }
 
@@ -155,14 +160,15 @@
     let node = start_sized_answer_node().await;
     let listener = TcpListener::bind("127.0.0.1:0").await.unwrap();
     let relay = listener.local_addr().unwrap();
-    let close = Arc::new(Notify::new());
-    tokio::spawn(forward_until_closed(listener, node, Arc::clone(&close)));
+    let (close, closed) = (Arc::new(Notify::new()), Arc::new(Notify::new()));
+    let forwarding = forward_until_closed(listener, node, Arc::clone(&close), Arc::clone(&closed));
+    tokio::spawn(forwarding);
     let links = peer_links();
     for _ in 0..5 {
         let request = links.request(relay, sized_request(10), REQUEST_TIMEOUT);
         assert_eq!(body_bytes(request.await), 10);
         close.notify_one();
-        tokio::time::sleep(CLOSE_TIME).await;
+        closed.notified().await;
     }
 }
 
