--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -224,12 +224,20 @@
         self.born = int(time.time() * 1000)
         self.runs = []
         self.running = 0
+        self.connections = set()
 
     async def start(self, host, port):
         self.address = (host, port)
         self.server = await asyncio.start_server(self.serve, host, port, limit=1 << 26)
 
+    def stop(self):
+        """Ends the upstream: nothing listens any more, and its connections close."""
+        self.server.close()
+        for writer in list(self.connections):
+            writer.close()
+
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
@@ -244,6 +252,7 @@
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     async def run(self, method, target, headers, body, writer):
