--- a/review/common-3/standins.py
+++ b/review/common-3/standins.py
@@ -95,6 +95,10 @@
         self.rows = {}
         self.ver = 0
         self.changed = asyncio.Event()
+        # The value of `Store-Era`; without one the header is left out.
+        self.era = None
+        self.is_away = False
+        self.connections = set()
         # While the store is silent, it reads calls and answers none. "A connection on which a
         # response is lost delivers nothing further."
         self.is_silent = False
@@ -127,6 +131,29 @@
         self.record(f"operator writes config {config['version']}: {outcome}")
         return not self.is_silent
 
+    def put_row(self, table, key, value):
+        """Writes a row as another writer does."""
+        self.apply({"puts": [{"table": table, "part": "", "key": key, "value": value}]})
+
+    def copy(self):
+        return dict(self.rows), self.ver
+
+    def go_away(self):
+        """From now on the store resets its connections and answers no call."""
+        self.record("the store is away")
+        self.is_away = True
+        for writer in list(self.connections):
+            writer.transport.abort()
+
+    def restore(self, copy):
+        """Goes back to a copy: what was written since is lost, and versions are given out again."""
+        self.rows, self.ver = dict(copy[0]), copy[1]
+        self.era += 1
+
+    def come_back(self):
+        self.record("the store is back")
+        self.is_away = False
+
     @staticmethod
     def wire(key, row):
         found = {"table": key[0], "part": key[1], "key": key[2], "ver": row[1]}
@@ -166,6 +193,8 @@
         if url.path == "/rows-feed":
             end = time.monotonic() + int(query.get("wait_ms", 0)) / 1000
             after = int(query["after"])
+            if after > self.ver:
+                return 410, {}
             while True:
                 rows = self.changes(query["table"], after)
                 left = end - time.monotonic()
@@ -178,11 +207,15 @@
         return 404, {}
 
     async def serve(self, reader, writer):
+        self.connections.add(writer)
         try:
             while True:
                 first, headers = await read_head(reader)
                 body = await read_body(reader, headers)
                 method, target, _ = first.split(" ", 2)
+                if self.is_away:
+                    writer.transport.abort()
+                    return
                 if self.is_silent:
                     self.record(f"store gets {method} {target.split('?')[0]} and stays silent")
                     await self.hold(reader)
@@ -194,13 +227,15 @@
                     return
                 content["now"] = f"{int(now() * 1000)}ms"
                 await asyncio.sleep(0.004)
+                era = [("Store-Era", str(self.era))] if self.era is not None else []
                 writer.write(message(f"HTTP/1.1 {status} X",
-                                     [("Content-Type", "application/json")],
+                                     [("Content-Type", "application/json")] + era,
                                      json.dumps(content).encode()))
                 await writer.drain()
         except (asyncio.IncompleteReadError, ConnectionError, asyncio.CancelledError):
             pass
         finally:
+            self.connections.discard(writer)
             writer.close()
 
     @staticmethod
