--- a/review/12/case.py
+++ b/review/12/case.py
@@ -4,7 +4,6 @@
 
 import asyncio
 import sys
-import time
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
@@ -51,6 +50,7 @@
 
 async def case(record, folder, ended):
     store = Store(record)
+    store.era = 1
     address = ("127.0.0.1", free_ports("127.0.0.1", 1)[0])
     await store.start(*address)
     store.put_config(config("r5", ROUTES, SERVICES))
--- a/review/13/case.py
+++ b/review/13/case.py
@@ -7,7 +7,7 @@
 from pathlib import Path
 
 sys.path.insert(0, str(Path(__file__).resolve().parents[1] / "common-3"))
-from standins import (BOUNDS, TROUBLE, CannotRun, Sidecar, Store, Upstream, call, config, free_ports,
+from standins import (BOUNDS, TROUBLE, Sidecar, Store, Upstream, call, config, free_ports,
                       main, now, wait_until)
 
 COPY_AGE_S = 4.0
