Learn soon that a read of the route source waits in vain

Cause: a read of the feed stays open for up to 25 s while there is no change, and its silence was taken for 'nothing new'. After the failed reads of the drill the daemon waited again after the same position. The restored store had given that version out again, so it sent no 410, and what the daemon lacked had lower versions. Only the response to some other read named the new epoch; those come rarely at daemons that run for longer than 24 s.

Change: a read after a failure, a pause or news of a restoration doesn't wait, so its response tells whether the position holds. Two members of each zone poll with waits of 1 s. Daemons compare their positions and the age of the last response of the source; one that has heard of none for too long checks its own. Reads of all daemons are spread to 500 a second.

The stand-in of the source in tests/support/network.rs now ends waits, loses reads and counts them; deliver_route_update answers the open read, as the service ignores responses to reads that it replaced.

--- a/src/host/effects.rs
+++ b/src/host/effects.rs
@@ -146,14 +146,18 @@
         timeout_us: u64,
     ) {
         let node = Arc::clone(self);
-        tokio::spawn(async move {
+        let task = tokio::spawn(async move {
             let timeout = Duration::from_micros(timeout_us);
             let wait = Duration::from_millis(u64::from(wait_ms));
             let update =
                 tokio::time::timeout(timeout, node.adapters.routes.next(after, wait)).await;
             let result = update.unwrap_or(Err(PlatformError::Lost));
+            lock(&node.pending).outbound.remove(&key);
             node.submit(Input::RoutesRead { key, result });
         });
+        lock(&self.pending)
+            .outbound
+            .insert(key, task.abort_handle());
     }
 
     fn send_table_request(
--- a/src/membership/service.rs
+++ b/src/membership/service.rs
@@ -150,6 +150,20 @@
         self.roster.is_empty()
     }
 
+    /// Returns whether fewer than `count` members that are alive in the availability zone of this
+    /// daemon have a smaller id.
+    pub fn is_first_in_zone(&self, count: usize) -> bool {
+        let mut smaller = 0;
+        for member in self.roster.members() {
+            if member.id >= self.own.id || smaller >= count {
+                break;
+            }
+            let is_in_zone = member.availability_zone == self.own.availability_zone;
+            smaller += usize::from(is_in_zone && member.state == MemberState::Alive);
+        }
+        smaller < count
+    }
+
     /// Returns up to `count` random members that are alive, without this one.
     pub fn sample(&self, rng: &mut impl Rng, count: usize) -> Vec<Member> {
         let mut members = Vec::new();
--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -7,7 +7,9 @@
 use macro_rules_attribute::apply;
 use rand::RngExt;
 
+use super::message::SourceState;
 use super::split::TrafficSplits;
+use super::watch::SourceWatch;
 use super::{Message, NAME, Resolution, RouteTable};
 use crate::derives::settings;
 use crate::ids::{InboundKey, MemberId, OutboundKey, Priority};
@@ -17,15 +19,24 @@
 use crate::organisations::{KeyDigest, Organisations, Principal};
 use crate::peer::{PeerRequest, PeerResponse};
 use crate::sorted::SortedMap;
-use crate::table::RowVersion;
 
 /// Settings of the propagation of route tables.
 #[apply(settings!)]
 pub struct RoutesSettings {
-    /// How long the source may hold a watch open while there is no update (long polling).
+    /// How long the source may hold a read of a daemon that is no poller open while there is no
+    /// update (long polling).
     pub watch_ms: u32,
-    /// The time beyond `watch_ms` after which the watch counts as lost.
+    /// The time beyond `watch_ms` after which such a read counts as lost, and the timeout of a read of
+    /// the whole table.
     pub watch_slack_ms: u32,
+    /// How long the source may hold a read of a poller open while there is no update.
+    pub poll_ms: u32,
+    /// The time beyond `poll_ms` after which such a read counts as lost.
+    pub poll_slack_ms: u32,
+    /// The number of daemons in each availability zone that poll the source.
+    pub pollers_per_zone: usize,
+    /// The rate at which all daemons together read the source again after a failure or a restoration.
+    pub reads_per_s_max: u32,
     /// The minimum delay before the source is read again after a first failure, and the maximum one
     /// after its history was lost.
     pub retry_ms: u32,
@@ -44,6 +55,10 @@
         Self {
             watch_ms: 25_000,
             watch_slack_ms: 3_000,
+            poll_ms: 1_000,
+            poll_slack_ms: 1_000,
+            pollers_per_zone: 2,
+            reads_per_s_max: 500,
             retry_ms: 200,
             retry_max_ms: 1_000,
             compare_period_ms: 1_000,
@@ -56,14 +71,13 @@
 /// The timers of the service.
 #[derive(Clone, Copy)]
 pub(super) enum TimerTag {
-    Watch = 1,
+    Read = 1,
     Compare = 2,
 }
 
-/// The kind of a request whose response is awaited.
+/// The kind of a request to a peer whose response is awaited.
 #[derive(Clone, Copy)]
 pub(super) enum RequestKind {
-    Watch,
     Compare(SocketAddr),
     Fetch,
 }
@@ -76,10 +90,8 @@
     /// The lowest priority of the requests that carry a key, by the current table.
     lowest_keyed_priority: Option<Priority>,
     splits: TrafficSplits,
-    /// The position in the source's history after which the watch continues.
-    pub(super) position: Option<RowVersion>,
-    pub(super) failures: u32,
-    pub(super) pending: SortedMap<OutboundKey, RequestKind>,
+    pub(super) source: SourceWatch,
+    pending: SortedMap<OutboundKey, RequestKind>,
     is_fetching: bool,
 }
 
@@ -92,8 +104,7 @@
             table: None,
             lowest_keyed_priority: None,
             splits: TrafficSplits::default(),
-            position: None,
-            failures: 0,
+            source: SourceWatch::default(),
             pending: SortedMap::default(),
             is_fetching: false,
         }
@@ -159,6 +170,15 @@
         }
     }
 
+    /// Returns what this daemon knows of the source.
+    fn state(&self, now_us: u64) -> SourceState {
+        SourceState {
+            version: self.version(),
+            position: self.source.position.map(Into::into),
+            response_age_ms: self.source.response_age_ms(now_us),
+        }
+    }
+
     /// Fetches the table of a peer if the version in a message from it is higher, unless a fetch is
     /// pending.
     pub fn fetch_if_newer(&mut self, context: &mut Context<'_>, version: u64, from: SocketAddr) {
@@ -181,11 +201,11 @@
         let table = Arc::new(table);
         self.table = Some(Arc::clone(&table));
         context.publish(Notice::RoutesChanged(table));
-        self.compare_versions(context, self.settings.fan_out);
+        self.compare_states(context, self.settings.fan_out);
     }
 
-    /// Compares versions with some peers, chosen at random.
-    fn compare_versions(&mut self, context: &mut Context<'_>, count: usize) {
+    /// Compares the state of the source with some peers, chosen at random.
+    pub(super) fn compare_states(&mut self, context: &mut Context<'_>, count: usize) {
         let membership = context.find::<Membership>(membership::NAME);
         let mut addresses = Vec::new();
         if let Some(membership) = membership {
@@ -197,12 +217,21 @@
         for address in addresses {
             let message = Message::Compare {
                 from: self.own_id,
-                version: self.version(),
+                state: self.state(context.now_us()),
             };
             self.send_request(context, address, message, RequestKind::Compare(address));
         }
     }
 
+    /// Takes over what a peer knows of the source and this daemon doesn't: a newer table, that the
+    /// source was restored, or that it responded.
+    fn learn_state(&mut self, context: &mut Context<'_>, state: SourceState, from: SocketAddr) {
+        self.fetch_if_newer(context, state.version, from);
+        if state.version <= self.version() {
+            self.follow_state(context, state);
+        }
+    }
+
     fn send_request(
         &mut self,
         context: &mut Context<'_>,
@@ -217,19 +246,19 @@
 
     fn handle_request(&mut self, context: &mut Context<'_>, inbound: InboundKey, message: Message) {
         let response = match message {
-            Message::Compare { from, version } => {
+            Message::Compare { from, state } => {
                 let membership = context.find::<Membership>(membership::NAME);
                 let member = membership.and_then(|membership| membership.get(from));
                 if let Some(address) = member.map(|member| member.address) {
-                    self.fetch_if_newer(context, version, address);
+                    self.learn_state(context, state, address);
                 }
-                Message::Version(self.version())
+                Message::State(self.state(context.now_us()))
             }
             Message::Fetch => {
                 let table = self.table.as_ref().map(|table| Box::new((**table).clone()));
                 Message::Table(table)
             }
-            Message::Version(_) | Message::Table(_) => Message::Version(self.version()),
+            Message::State(_) | Message::Table(_) => Message::State(self.state(context.now_us())),
         };
         context.respond(inbound, PeerResponse::Routes(response));
     }
@@ -247,8 +276,8 @@
             self.is_fetching = false;
         }
         match (kind, result) {
-            (RequestKind::Compare(from), Ok(PeerResponse::Routes(Message::Version(version)))) => {
-                self.fetch_if_newer(context, version, from);
+            (RequestKind::Compare(from), Ok(PeerResponse::Routes(Message::State(state)))) => {
+                self.learn_state(context, state, from);
             }
             (RequestKind::Fetch, Ok(PeerResponse::Routes(Message::Table(Some(table))))) => {
                 self.apply(context, *table, "peer");
@@ -267,19 +296,18 @@
         let period_us = u64::from(self.settings.compare_period_ms) * 1_000;
         match event {
             Event::Started => {
-                self.watch(context);
+                self.read_source(context);
                 let first_us = context.rng().random_range(0..=period_us);
                 context.set_timer(first_us, TimerTag::Compare as u64);
             }
-            Event::Timer(tag) if tag == TimerTag::Watch as u64 => self.watch(context),
+            Event::Notice(Notice::Resumed { .. }) => self.check_position(context),
+            Event::Timer(tag) if tag == TimerTag::Read as u64 => self.handle_read_timer(context),
             Event::Timer(tag) if tag == TimerTag::Compare as u64 => {
                 context.set_timer(period_us, TimerTag::Compare as u64);
-                self.compare_versions(context, 1);
-            }
-            Event::RoutesRead { key, result } => {
-                self.pending.remove(&key);
-                self.handle_update(context, result);
+                self.compare_states(context, 1);
+                self.end_long_read_if_due(context);
             }
+            Event::RoutesRead { key, result } => self.handle_read(context, key, result),
             Event::PeerRequest {
                 inbound,
                 request: PeerRequest::Routes(message),
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -85,6 +85,8 @@
     cancelled: Vec<CallKey>,
     /// The requests at the target, which end with it.
     at_target: Vec<CallKey>,
+    /// The latest read of the route source that waits for a change.
+    watch: Option<Watch>,
     /// Until when the target is down after it ended.
     target_down_until_us: u64,
     /// When the target ended.
@@ -107,7 +109,17 @@
     Slow(u64),
 }
 
+/// A read of the route source that waits for a change.
+#[derive(Clone, Copy)]
+struct Watch {
+    key: OutboundKey,
+    began_us: u64,
+    timeout_us: u64,
+}
+
 enum Delivery {
+    /// The wait of a read of the route source is over.
+    WatchEnd(Watch),
     NextChildCall(Box<ParentRun>),
     Input(Box<Input>),
     Wake,
@@ -156,6 +168,15 @@
     pub route_table: Option<RouteTable>,
     /// Returns whether a node can reach the route source.
     pub can_reach_routes: Box<dyn Fn(usize) -> bool>,
+    /// Whether the route source answers no read.
+    pub are_routes_silent: bool,
+    /// When the route source was silent or was restored last: reads that were open then stay without
+    /// an answer.
+    watches_lost_us: Option<u64>,
+    /// The number of changes of the route table.
+    route_changes: u64,
+    /// The number of reads of the route source.
+    pub route_reads: u64,
     pub table_reads: u64,
     pub table_writes: u64,
     queue: BinaryHeap<Reverse<Scheduled>>,
@@ -180,6 +201,10 @@
             objects: SortedMap::default(),
             route_table: None,
             can_reach_routes: Box::new(|_| true),
+            are_routes_silent: false,
+            watches_lost_us: None,
+            route_changes: 1,
+            route_reads: 0,
             table_reads: 0,
             table_writes: 0,
             queue: BinaryHeap::new(),
@@ -214,6 +239,7 @@
             inbound: SortedMap::default(),
             cancelled: Vec::new(),
             at_target: Vec::new(),
+            watch: None,
             target_down_until_us: 0,
             target_ends_us: Vec::new(),
             wake_at_us: None,
@@ -298,23 +324,102 @@
         sum
     }
 
-    /// Responds to a read of the route table. A read that waits for an update stays open until
-    /// [`Network::deliver_route_update`].
-    fn read_routes(&mut self, node: usize, key: OutboundKey, after: Option<RowVersion>) {
+    /// Responds to a read of the route table. A read that waits stays open until the end of its wait
+    /// or [`Network::publish_routes`].
+    fn read_routes(
+        &mut self,
+        node: usize,
+        key: OutboundKey,
+        after: Option<RowVersion>,
+        wait_us: u64,
+        timeout_us: u64,
+    ) {
+        self.route_reads += 1;
         let result = match after {
             _ if !(self.can_reach_routes)(node) => Err(PlatformError::NotApplied),
-            Some(_) => return,
-            None => Ok(RouteUpdate {
-                position: Some(self.row_version(1)),
+            None if !self.are_routes_silent => Ok(RouteUpdate {
+                position: Some(self.route_position()),
                 table: self.route_table.clone(),
             }),
+            _ => {
+                let watch = Watch {
+                    key,
+                    began_us: self.now_us,
+                    timeout_us,
+                };
+                self.nodes[node].watch = Some(watch);
+                let end_us = self.now_us + wait_us.max(self.delay_us);
+                self.schedule(end_us, node, Delivery::WatchEnd(watch));
+                return;
+            }
         };
         self.schedule_input(self.delay_us, node, Input::RoutesRead { key, result });
     }
 
+    fn route_position(&self) -> RowVersion {
+        self.row_version(self.route_changes)
+    }
+
+    /// Answers a read whose wait is over, or lets it time out if the source was silent meanwhile.
+    fn end_watch(&mut self, node: usize, watch: Watch) {
+        let is_lost = self.is_watch_lost(&watch);
+        let key = watch.key;
+        let result = match is_lost {
+            true => Err(PlatformError::Lost),
+            false => Ok(RouteUpdate {
+                position: Some(self.route_position()),
+                table: None,
+            }),
+        };
+        let left_us = match is_lost {
+            true => (watch.began_us + watch.timeout_us).saturating_sub(self.now_us),
+            false => 0,
+        };
+        self.schedule_input(left_us, node, Input::RoutesRead { key, result });
+    }
+
+    fn is_watch_lost(&self, watch: &Watch) -> bool {
+        let lost_us = self.watches_lost_us;
+        self.are_routes_silent || lost_us.is_some_and(|lost_us| watch.began_us <= lost_us)
+    }
+
+    /// Makes the route source answer no read, or answer reads again that begin from now on.
+    pub fn set_routes_silent(&mut self, is_silent: bool) {
+        self.are_routes_silent = is_silent;
+        self.watches_lost_us = Some(self.now_us);
+    }
+
+    /// Restores the route source from an older copy: its versions are assigned again, and reads that
+    /// are open stay without an answer.
+    pub fn restore_routes(&mut self) {
+        self.epoch.0 += 1;
+        self.watches_lost_us = Some(self.now_us);
+    }
+
+    /// Changes the route table; nodes that wait for a change in this epoch are told of it.
+    pub fn publish_routes(&mut self, table: RouteTable) {
+        self.route_table = Some(table);
+        self.route_changes += 1;
+        let update = RouteUpdate {
+            position: Some(self.route_position()),
+            table: self.route_table.clone(),
+        };
+        for node in 0..self.nodes.len() {
+            let Some(watch) = self.nodes[node].watch else {
+                continue;
+            };
+            if !(self.can_reach_routes)(node) || self.is_watch_lost(&watch) {
+                continue;
+            }
+            let (key, result) = (watch.key, Ok(update.clone()));
+            self.schedule_input(self.delay_us, node, Input::RoutesRead { key, result });
+        }
+    }
+
     /// Delivers an update of the route table to a node that watches the table.
     pub fn deliver_route_update(&mut self, node: usize, update: RouteUpdate) {
-        let (key, result) = (OutboundKey(0), Ok(update));
+        let watch = self.nodes[node].watch.expect("the node watches the table");
+        let (key, result) = (watch.key, Ok(update));
         self.deliver(node, Input::RoutesRead { key, result });
     }
 
@@ -329,6 +434,7 @@
             return;
         }
         match scheduled.delivery {
+            Delivery::WatchEnd(watch) => self.end_watch(scheduled.node, watch),
             Delivery::NextChildCall(run) => self.start_next_child(scheduled.node, *run),
             Delivery::Input(input) => self.deliver(scheduled.node, *input),
             Delivery::Wake => {
@@ -477,7 +583,12 @@
                 let (result, after_us) = self.handle_object_request(request, timeout_us);
                 self.schedule_input(after_us, node, Input::ObjectResponse { key, result });
             }
-            Effect::ReadRoutes { key, after, .. } => self.read_routes(node, key, after),
+            Effect::ReadRoutes {
+                key,
+                after,
+                wait_ms,
+                timeout_us,
+            } => self.read_routes(node, key, after, u64::from(wait_ms) * 1_000, timeout_us),
             Effect::SendTargetRequest {
                 call,
                 http,
