Attribute a departure without start time to the latest stored start

Cause, two parts of one fault: a notice without start time meant 'the start that this process uses'. A sidecar that had been restarted beside a draining target used none, though the row named the start that drained, so it held all starts of the instance for 30 s. That hold was stored without its end, so each later start of the sidecar began it anew. Read after a report of the next start, the same row marked that one as departed for good.

Change: the row also names the latest start in use, written when a start is first used; a notice without start time is that of the latest start known to this process or from the row. It holds for as long as the row stands, so a left start gets nothing however late its reports, and the next start is used at once. Where no start was ever stored, the hold of 30 s ends at a time of the store's clock, or once nothing listens at the target's address.

tests/target_watch.rs: record_stored_departures is record_stored, whose outcome says whether the current start leaves or is held; its check is as strict.

--- a/src/host/sidecar.rs
+++ b/src/host/sidecar.rs
@@ -168,6 +168,7 @@
             tokio::spawn(Arc::clone(&self.target).watch_for_silence()).abort_handle(),
             tokio::spawn(Arc::clone(&self.target).probe()).abort_handle(),
             tokio::spawn(Arc::clone(&self.target).keep_departures()).abort_handle(),
+            tokio::spawn(Arc::clone(&self.target).watch_for_end()).abort_handle(),
         ];
         *lock(&self.tasks) = tasks;
     }
--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -1,5 +1,5 @@
-//! Keeps the departures of the target in the platform's table, for the process that runs beside the
-//! target after this one.
+//! Keeps the starts of the target, and which of them left, in the platform's table for the process that
+//! runs beside the target after this one.
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -9,9 +9,11 @@
 use super::TargetTracker;
 use crate::backoff::Backoff;
 use crate::host::{Clock, lock};
+use crate::kernel::{Input, Notice};
+use crate::membership::{self, Membership};
 use crate::table::{PlatformError, REWRITE_SPREAD_US, Row, TableRequest, TableResponse};
-use crate::target::Departure;
 use crate::target::departure_row::{self, ROW_INSTANCES_MAX};
+use crate::target::{InstanceStarts, StoredOutcome};
 
 /// How long to wait for a response of the table.
 const TABLE_TIMEOUT: Duration = Duration::from_secs(1);
@@ -23,9 +25,16 @@
 /// second for the acknowledgement.
 const STORE_WAIT: Duration = Duration::from_millis(500);
 
+/// The rate at which all daemons together write rows that are not urgent.
+const ROWS_PER_S: u64 = 100;
+
+/// How often a sidecar checks whether the process of a target that left has ended, while it isn't
+/// known which start left.
+const END_CHECK_PERIOD: Duration = Duration::from_millis(200);
+
 impl TargetTracker {
-    /// Reads the departures that a former process stored, then stores each new one, until the task
-    /// is aborted.
+    /// Reads what a former process stored, then stores each departure at once and each new start after
+    /// a random delay, until the task is aborted.
     pub(super) async fn keep_departures(self: Arc<Self>) {
         let mut backoff = Backoff::default();
         while let Err(error) = self.load_departures().await {
@@ -37,6 +46,7 @@
         loop {
             tokio::select! {
                 () = self.departure_recorded.notified() => {}
+                () = self.delay_of_recorded_start() => {}
                 Ok(()) = restorations.changed() => self.forget_storage().await,
             }
             while self.has_unstored_departures() {
@@ -51,12 +61,63 @@
         }
     }
 
+    /// Waits until a start is recorded, and then for a random time.
+    async fn delay_of_recorded_start(&self) {
+        self.start_recorded.notified().await;
+        tokio::time::sleep(self.write_delay()).await;
+    }
+
     /// Counts all departures as not stored, because a restored store may have lost them, and waits
-    /// for a random time, since other daemons write their rows again too.
+    /// for a random time.
     async fn forget_storage(&self) {
         self.stored_revision.send_replace(0);
-        let spread_us = rand::rng().random_range(0..=REWRITE_SPREAD_US);
-        tokio::time::sleep(Duration::from_micros(spread_us)).await;
+        tokio::time::sleep(self.write_delay()).await;
+    }
+
+    /// Returns a random delay for a write that all daemons may do at the same time.
+    fn write_delay(&self) -> Duration {
+        let members = self.node.inspect(|kernel| {
+            let membership = kernel.find::<Membership>(membership::NAME);
+            membership.map_or(1, |membership| membership.len())
+        });
+        let all_us = u64::try_from(members).unwrap_or(u64::MAX) * 1_000_000 / ROWS_PER_S;
+        let delay_us = rand::rng().random_range(0..=all_us.max(REWRITE_SPREAD_US));
+        Duration::from_micros(delay_us)
+    }
+
+    /// Watches for the end of a target of which an unknown start left, until the task is aborted: once
+    /// its process has ended, no start that left can be reached, and a new one may be used.
+    pub(super) async fn watch_for_end(self: Arc<Self>) {
+        loop {
+            self.hold_recorded.notified().await;
+            while self.has_hold() {
+                if self.transport.has_ended().await {
+                    self.end_holds();
+                }
+                tokio::time::sleep(END_CHECK_PERIOD).await;
+            }
+        }
+    }
+
+    fn has_hold(&self) -> bool {
+        let now_us = self.clock.now_us();
+        lock(&self.watch).departures().has_hold(now_us)
+    }
+
+    fn end_holds(&self) {
+        let now_us = self.clock.now_us();
+        if lock(&self.watch).end_holds(now_us) {
+            log::info!(target: "dragonflylug", subject = "target"; "the target that left has ended");
+            self.departure_recorded.notify_one();
+        }
+    }
+
+    /// Has the departures stored, and the end of the target watched for if a departure is held.
+    pub(super) fn notify_departure(&self) {
+        self.departure_recorded.notify_one();
+        if self.has_hold() {
+            self.hold_recorded.notify_one();
+        }
     }
 
     /// Waits until all recorded departures are stored, or for a bounded time.
@@ -85,7 +146,7 @@
         }
     }
 
-    fn has_unstored_departures(&self) -> bool {
+    pub(super) fn has_unstored_departures(&self) -> bool {
         lock(&self.watch).departures().revision() > *self.stored_revision.borrow()
     }
 
@@ -106,7 +167,9 @@
             (departures.revision(), latest)
         };
         let version = *lock(&self.row_version);
-        let request = departure_row::write_request(self.settings.address, version, &departures);
+        let now_ms = self.node.adapters.table.now_ms();
+        let address = self.settings.address;
+        let request = departure_row::write_request(address, version, &departures, now_ms);
         match self.request_table(request).await? {
             TableResponse::Written(versions) => {
                 *lock(&self.row_version) = versions.first().copied();
@@ -121,23 +184,40 @@
         }
     }
 
-    /// Records the departures in the row as it is in the table now.
+    /// Records the starts in the row as it is in the table now.
     fn merge_row(self: &Arc<Self>, row: Option<&Row>) {
         *lock(&self.row_version) = row.map(|row| row.version);
-        let stored = row.map(decode_row).unwrap_or_default();
-        log::info!(target: "dragonflylug", subject = "target", departures = stored.len(); "read the stored departures");
-        let is_all_stored = !self.has_unstored_departures();
+        let stored = row.map(|row| self.decode_row(row)).unwrap_or_default();
+        log::info!(target: "dragonflylug", subject = "target", instances = stored.len(); "read the stored starts of the target: {stored:?}");
         let now_us = self.clock.now_us();
-        let (is_current, revision) = {
+        let (outcome, latest, revision) = {
             let mut watch = lock(&self.watch);
-            let is_current = watch.record_stored_departures(now_us, &stored);
-            (is_current, watch.departures().revision())
+            let outcome = watch.record_stored(now_us, &stored);
+            let departures = watch.departures();
+            let latest = departures.latest(now_us, ROW_INSTANCES_MAX);
+            (outcome, latest, departures.revision())
         };
-        if is_all_stored {
+        if latest == stored {
             self.stored_revision.send_replace(revision);
         }
-        if is_current {
-            self.announce();
+        if self.has_hold() {
+            self.hold_recorded.notify_one();
+        }
+        match outcome {
+            StoredOutcome::Unaffected => {}
+            StoredOutcome::Leaving => self.announce(),
+            StoredOutcome::Held => self.node.submit(Input::Notice(Notice::TargetSilent)),
+        }
+    }
+
+    /// Returns the starts in a row; none, with a log line, if they cannot be decoded.
+    fn decode_row(&self, row: &Row) -> Vec<InstanceStarts> {
+        match departure_row::decode(row, self.node.adapters.table.now_ms()) {
+            Ok(starts) => starts,
+            Err(error) => {
+                log::warn!(target: "dragonflylug", "ignored the row {}: {error}", row.key);
+                Vec::new()
+            }
         }
     }
 
@@ -148,17 +228,6 @@
     }
 }
 
-/// Returns the departures in a row; none, with a log line, if they cannot be decoded.
-fn decode_row(row: &Row) -> Vec<Departure> {
-    match departure_row::decode(row) {
-        Ok(departures) => departures,
-        Err(error) => {
-            log::warn!(target: "dragonflylug", "ignored the row {}: {error}", row.key);
-            Vec::new()
-        }
-    }
-}
-
 async fn pause(backoff: &mut Backoff) {
     let pause_us = backoff.next_us(RETRY_PAUSE_MAX_MS, &mut rand::rng());
     tokio::time::sleep(Duration::from_micros(pause_us)).await;
--- a/src/host/sidecar/target_tracker.rs
+++ b/src/host/sidecar/target_tracker.rs
@@ -60,6 +60,10 @@
     pub(super) stored_revision: watch::Sender<u64>,
     /// Notifies the task that stores the departures.
     pub(super) departure_recorded: Notify,
+    /// Notifies the task that stores the departures of a new start.
+    pub(super) start_recorded: Notify,
+    /// Notifies the task that watches for the end of a target of which an unknown start left.
+    pub(super) hold_recorded: Notify,
 }
 
 impl DepartureSink for mpsc::UnboundedSender<TargetStart> {
@@ -87,6 +91,8 @@
             row_version: Mutex::default(),
             stored_revision: watch::Sender::new(0),
             departure_recorded: Notify::new(),
+            start_recorded: Notify::new(),
+            hold_recorded: Notify::new(),
         })
     }
 
@@ -110,7 +116,7 @@
         let is_leaving = report.is_leaving;
         let outcome = self.apply_report(report);
         if is_leaving {
-            self.departure_recorded.notify_one();
+            self.notify_departure();
             self.wait_until_stored().await;
         }
         outcome
@@ -136,7 +142,7 @@
         if is_current {
             self.announce();
         }
-        self.departure_recorded.notify_one();
+        self.notify_departure();
         self.wait_until_stored().await;
     }
 
@@ -154,13 +160,26 @@
             "report of the target"
         );
         match outcome {
-            ReportOutcome::Changed => self.announce(),
+            ReportOutcome::Changed => self.use_start(),
             ReportOutcome::Unconfirmed => self.report_unconfirmed.notify_one(),
             ReportOutcome::Stale | ReportOutcome::Unchanged => {}
         }
         outcome
     }
 
+    /// Announces the current start and has it stored if it is new; at once if an earlier start of its
+    /// instance left, so that a later departure is known to be of this one.
+    fn use_start(self: &Arc<Self>) {
+        self.announce();
+        if !self.has_unstored_departures() {
+            return;
+        }
+        match lock(&self.watch).succeeds_departed_start() {
+            true => self.departure_recorded.notify_one(),
+            false => self.start_recorded.notify_one(),
+        }
+    }
+
     pub(super) fn announce(self: &Arc<Self>) {
         let Some(report) = lock(&self.watch).confirmed_report().cloned() else {
             return;
@@ -226,7 +245,7 @@
             "probe of the target succeeded"
         );
         if outcome == ReportOutcome::Changed {
-            self.announce();
+            self.use_start();
         }
     }
 
--- a/src/table.rs
+++ b/src/table.rs
@@ -190,6 +190,12 @@
     fn watch_restorations(&self) -> watch::Receiver<u64> {
         watch::channel(0).1
     }
+
+    /// Returns the current time in milliseconds on the steady clock of the store, which all daemons
+    /// share; `None` if the store has none or gave no response yet.
+    fn now_ms(&self) -> Option<u64> {
+        None
+    }
 }
 
 /// The platform's object store.
--- a/src/target.rs
+++ b/src/target.rs
@@ -9,9 +9,9 @@
 pub use condition::{
     ConditionChange, ConditionTracker, RateLimitState, TargetCondition, TargetStart,
 };
-pub use departures::{Departure, Departures};
+pub use departures::{Departures, InstanceStarts};
 pub use signals::{AnswerSignals, RateLimitSignal, RequestRate};
-pub use watch::{ReportOutcome, TargetReport, TargetWatch};
+pub use watch::{ReportOutcome, StoredOutcome, TargetReport, TargetWatch};
 
 use macro_rules_attribute::apply;
 
--- a/src/target/watch.rs
+++ b/src/target/watch.rs
@@ -3,7 +3,7 @@
 //! A start is one execution of the target's process, identified by its instance identifier and its
 //! start time. Two starts may have the same instance identifier.
 
-use super::{Departure, Departures};
+use super::{Departures, InstanceStarts};
 use crate::ids::{InstanceId, ServiceName};
 
 /// How long after the start of the daemon a report may still be one that was sent before its start
@@ -55,6 +55,17 @@
     }
 }
 
+/// What the starts that a former process stored mean for the current start.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum StoredOutcome {
+    /// Nothing.
+    Unaffected,
+    /// It is leaving.
+    Leaving,
+    /// It may be the start that left: it no longer counts, until that is known or the hold is over.
+    Held,
+}
+
 /// The current start of the target, with its latest report.
 struct CurrentStart {
     report: TargetReport,
@@ -168,10 +179,25 @@
             Some(current) => relate(&current.report, &report),
             None => Relation::Later,
         };
-        match (relation, &mut self.current) {
+        let outcome = match (relation, &mut self.current) {
             (Relation::Earlier, _) => ReportOutcome::Stale,
             (Relation::Same, Some(current)) => current.update(now_us, report, is_confirmed),
             _ => self.set_current(CurrentStart::new(now_us, report, is_confirmed)),
+        };
+        self.remember_current(now_us);
+        outcome
+    }
+
+    /// Remembers the current start if it is in use, so that a departure without a start time is known
+    /// to be of this start, also by later processes.
+    fn remember_current(&mut self, now_us: u64) {
+        let Some(current) = self.current.as_ref().filter(|current| current.is_ready()) else {
+            return;
+        };
+        if let Some(started_at_ms) = current.report.started_at_ms {
+            let instance = &current.report.instance;
+            self.departures
+                .record_start(now_us, instance, started_at_ms);
         }
     }
 
@@ -189,7 +215,7 @@
     /// one of another instance.
     pub fn record_probe(&mut self, now_us: u64, report: TargetReport) -> ReportOutcome {
         let instance = &report.instance;
-        match &mut self.current {
+        let outcome = match &mut self.current {
             Some(current) if current.is_ready() => ReportOutcome::Stale,
             Some(current) if !current.is_usable() && current.report.instance == *instance => {
                 current.is_confirmed = true;
@@ -197,13 +223,16 @@
             }
             _ if self.departures.cover(now_us, instance, None) => ReportOutcome::Stale,
             _ => self.set_current(CurrentStart::new(now_us, report, true)),
-        }
+        };
+        self.remember_current(now_us);
+        outcome
     }
 
     /// Records that a start of the target announced that it is leaving, so that its later reports
     /// are ignored; returns whether this applies to the current start.
     ///
-    /// Without a start time the departure is that of the current start, if the instance is the same.
+    /// Without a start time the departure is that of the current start, if the instance is the same,
+    /// or else of the latest start of the instance that reported, also to a former process.
     pub fn record_departure(
         &mut self,
         now_us: u64,
@@ -226,15 +255,37 @@
         true
     }
 
-    /// Records the departures that a former process of the daemon stored; returns whether one
-    /// applies to the current start.
-    pub fn record_stored_departures(&mut self, now_us: u64, stored: &[Departure]) -> bool {
-        let mut is_current = false;
-        for departure in stored {
-            let (instance, started_at_ms) = (&departure.instance, departure.started_at_ms);
-            is_current |= self.record_departure(now_us, instance, started_at_ms);
+    /// Records the starts that a former process of the daemon stored.
+    pub fn record_stored(&mut self, now_us: u64, stored: &[InstanceStarts]) -> StoredOutcome {
+        for starts in stored {
+            self.departures.merge(now_us, starts);
+        }
+        let Some(current) = &mut self.current else {
+            return StoredOutcome::Unaffected;
+        };
+        let (instance, started_at_ms) = (&current.report.instance, current.report.started_at_ms);
+        let is_covered = self.departures.cover(now_us, instance, started_at_ms);
+        if !is_covered || current.report.is_leaving {
+            return StoredOutcome::Unaffected;
+        }
+        if self.departures.is_held(now_us, instance) {
+            self.current = None;
+            return StoredOutcome::Held;
         }
-        is_current
+        current.report.is_leaving = true;
+        StoredOutcome::Leaving
+    }
+
+    /// Returns whether an earlier start of the instance of the current start left.
+    pub fn succeeds_departed_start(&self) -> bool {
+        let instance = self.report().map(|report| &report.instance);
+        instance.is_some_and(|instance| self.departures.cover(0, instance, None))
+    }
+
+    /// Ends the holds, because the process of the target was seen to have ended; returns whether there
+    /// was one.
+    pub fn end_holds(&mut self, now_us: u64) -> bool {
+        self.departures.end_holds(now_us)
     }
 
     /// Returns whether the current start may have left before the daemon started.
--- a/tests/target_watch.rs
+++ b/tests/target_watch.rs
@@ -5,7 +5,9 @@
 #[path = "support/cases.rs"]
 mod cases;
 
-use dragonflylug::target::{Departure, ReportOutcome, TargetReport, TargetWatch};
+use dragonflylug::target::{
+    InstanceStarts, ReportOutcome, StoredOutcome, TargetReport, TargetWatch,
+};
 
 /// Creates a report of a process of the target, with its start time and sequence number.
 fn report(instance: &str, started_at_ms: u64, sequence: u64, is_leaving: bool) -> TargetReport {
@@ -210,11 +212,8 @@
         assert_eq!(outcome, ReportOutcome::Unconfirmed);
     }
     assert_eq!(watch.confirmed_report(), None);
-    let stored = Departure {
-        instance: "a".into(),
-        started_at_ms: Some(1),
-    };
-    assert!(watch.record_stored_departures(0, &[stored]));
+    let stored = InstanceStarts::departed("a".into(), Some(1));
+    assert_eq!(watch.record_stored(0, &[stored]), StoredOutcome::Leaving);
     assert!(watch.confirmed_report().unwrap().is_leaving);
     watch.record_probe(0, unversioned("a", 0));
     assert!(watch.confirmed_report().unwrap().is_leaving);
@@ -282,3 +281,150 @@
     let outcome = watch.record_report(0, report("a", 1, 10, false));
     assert_eq!(outcome, ReportOutcome::Stale);
 }
+
+/// Returns the watch of a process that starts after another one, which stored all that it knew.
+fn restart(watch: &TargetWatch, now_us: u64) -> TargetWatch {
+    let stored = watch.departures().latest(now_us, 16);
+    let mut next = TargetWatch::starting_at(now_us);
+    next.record_stored(now_us, &stored);
+    next
+}
+
+/// Returns whether a start becomes ready when it reports and answers a probe.
+fn is_used(watch: &mut TargetWatch, now_us: u64, report: TargetReport) -> bool {
+    let (instance, started_at_ms) = (report.instance.clone(), report.started_at_ms);
+    watch.record_report(now_us, report);
+    watch.record_probe(now_us, unversioned(instance.as_str(), 0));
+    let current = watch.confirmed_report();
+    current.is_some_and(|report| !report.is_leaving && report.started_at_ms == started_at_ms)
+}
+
+/// What the processes of a daemon learn, one after the other, before the start "a" of 1 left.
+enum Life {
+    /// A report that this start is ready, which the process stores.
+    Ready,
+    /// A report that it drains, which the process stores.
+    Drains,
+    /// The process ends, and the next one reads what it stored.
+    Restarts,
+    /// The notice that the instance leaves, without start time.
+    Leaves,
+}
+
+fn live(steps: Vec<Life>) -> TargetWatch {
+    let mut watch = TargetWatch::default();
+    for step in steps {
+        match step {
+            Life::Ready => {
+                watch.record_report(0, report("a", 1, 1, false));
+            }
+            Life::Drains => {
+                watch.record_report(0, report("a", 1, 2, true));
+            }
+            Life::Restarts => watch = restart(&watch, 0),
+            Life::Leaves => {
+                watch.record_departure(0, &"a".into(), None);
+            }
+        }
+    }
+    watch
+}
+
+/// The times after a departure at which a report arrives, and between restarts of the daemon.
+const LATE_US: [u64; 4] = [1_000_000, 29_000_000, 40_000_000, 3_600_000_000];
+
+// Guards against a departure without start time that keeps the next start of the instance out of use, as
+// long as the daemon restarts again and again, or that the left start outlives.
+fn check_departed_start(steps: Vec<Life>) {
+    let mut watch = live(steps);
+    for now_us in LATE_US {
+        watch = restart(&watch, now_us);
+        assert!(
+            !is_used(&mut watch, now_us, report("a", 1, 99, false)),
+            "{now_us}"
+        );
+        assert!(
+            is_used(&mut watch, now_us, report("a", 2, 1, false)),
+            "{now_us}"
+        );
+        assert!(
+            !is_used(&mut watch, now_us, report("a", 1, 99, false)),
+            "{now_us}"
+        );
+        let mut without_row = TargetWatch::starting_at(now_us);
+        without_row.record_report(now_us, report("a", 2, 2, false));
+        without_row.record_probe(now_us, unversioned("a", 0));
+        without_row.record_stored(now_us, &watch.departures().latest(now_us, 16));
+        assert!(
+            !without_row.confirmed_report().unwrap().is_leaving,
+            "{now_us}"
+        );
+    }
+}
+
+cases! { check_departed_start:
+    departure_of_a_start_that_drains_beside_a_restarted_daemon => vec![Life::Ready, Life::Drains, Life::Restarts, Life::Leaves],
+    departure_of_a_start_that_drains_beside_a_daemon_that_restarts_twice => vec![Life::Ready, Life::Drains, Life::Restarts, Life::Restarts, Life::Leaves],
+    departure_of_a_ready_start_beside_a_restarted_daemon => vec![Life::Ready, Life::Restarts, Life::Leaves],
+    departure_of_a_ready_start_at_a_daemon_without_restart => vec![Life::Ready, Life::Leaves],
+    departure_that_is_repeated_after_a_restart => vec![Life::Ready, Life::Leaves, Life::Restarts, Life::Leaves],
+}
+
+// Guards against a departure that arrives before the row is read and is not matched with it.
+#[test]
+fn a_departure_before_the_row_is_read_is_that_of_the_stored_start() {
+    let former = live(vec![Life::Ready]);
+    let mut watch = TargetWatch::starting_at(0);
+    watch.record_departure(0, &"a".into(), None);
+    assert!(!is_used(&mut watch, 0, report("a", 1, 9, false)));
+    watch.record_stored(0, &former.departures().latest(0, 16));
+    assert!(!is_used(&mut watch, 0, report("a", 1, 9, false)));
+    assert!(is_used(&mut watch, 0, report("a", 2, 1, false)));
+}
+
+// Guards against a departure of the second start that is taken for that of the first, which left before.
+#[test]
+fn a_departure_after_a_restart_is_that_of_the_latest_start() {
+    let mut watch = live(vec![Life::Ready, Life::Leaves]);
+    watch.record_report(0, report("a", 2, 1, false));
+    watch = restart(&watch, 0);
+    watch.record_departure(0, &"a".into(), None);
+    assert!(!is_used(&mut watch, 60_000_000, report("a", 2, 9, false)));
+    assert!(is_used(&mut watch, 60_000_000, report("a", 3, 1, false)));
+}
+
+// Guards against a hold that begins anew each time that it is read back.
+#[test]
+fn a_hold_of_an_unknown_start_ends_though_the_daemon_restarts() {
+    let mut watch = TargetWatch::default();
+    watch.record_departure(0, &"a".into(), None);
+    for now_us in [10_000_000, 20_000_000, 29_000_000] {
+        watch = restart(&watch, now_us);
+        assert!(!is_used(&mut watch, now_us, report("a", 1, 9, false)));
+    }
+    watch = restart(&watch, 30_000_000);
+    assert!(is_used(&mut watch, 30_000_000, report("a", 2, 1, false)));
+}
+
+/// A start that left can't be reached once its process has ended.
+#[test]
+fn a_hold_of_an_unknown_start_ends_with_the_process_of_the_target() {
+    let mut watch = TargetWatch::starting_at(0);
+    watch.record_departure(0, &"a".into(), None);
+    assert!(!is_used(&mut watch, 0, report("a", 1, 9, false)));
+    assert!(watch.end_holds(1_000_000));
+    assert!(is_used(&mut watch, 1_000_000, report("a", 2, 1, false)));
+}
+
+/// The hold may be that of the start that has reported before the row was read.
+#[test]
+fn a_stored_hold_stops_a_start_that_reported_before_the_row_was_read() {
+    let mut former = TargetWatch::default();
+    former.record_departure(0, &"a".into(), None);
+    let mut watch = TargetWatch::starting_at(1_000_000);
+    assert!(is_used(&mut watch, 1_000_000, report("a", 1, 9, false)));
+    let stored = former.departures().latest(1_000_000, 16);
+    assert_eq!(watch.record_stored(1_000_000, &stored), StoredOutcome::Held);
+    assert!(!is_used(&mut watch, 2_000_000, report("a", 1, 10, false)));
+    assert!(is_used(&mut watch, 31_000_000, report("a", 2, 1, false)));
+}
