Count the age of a stored quarantine on while daemons restart

Callers saw: a request that was quarantined for 15 minutes stays refused for 15 minutes from each restart of all daemons on (by test; no user reported it).

Cause: the row kept the age of the last end at the time of its write, and a daemon that read it counted from there. Peers don't correct it: the digests by which they compare name the end, not its time.

Change: the row names when it was written on the clock of the table, which comes to services with each response of the table (Context::table_now_ms). A quarantine that is over when it is read is kept for 10 s, so that the member with the smallest identifier deletes its row. A table without a clock, that of the product's own platform, counts as before.

--- a/examples/embed.rs
+++ b/examples/embed.rs
@@ -189,8 +189,12 @@
             }
             Effect::SendTableRequest { key, request, .. } => {
                 let result = Ok(self.handle_table_request(request));
-                self.inbox
-                    .push_back((node, Input::TableResponse { key, result }));
+                let input = Input::TableResponse {
+                    key,
+                    result,
+                    table_now_ms: None,
+                };
+                self.inbox.push_back((node, input));
             }
             Effect::SendObjectRequest { key, .. } => {
                 let result = Err(PlatformError::NotApplied);
--- a/src/host/effects.rs
+++ b/src/host/effects.rs
@@ -173,7 +173,12 @@
                 tokio::time::timeout(timeout, node.adapters.table.request(request)).await;
             let result: Result<TableResponse, PlatformError> =
                 response.unwrap_or(Err(PlatformError::Lost));
-            node.submit(Input::TableResponse { key, result });
+            let table_now_ms = node.adapters.table.now_ms();
+            node.submit(Input::TableResponse {
+                key,
+                result,
+                table_now_ms,
+            });
         });
     }
 
--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -51,6 +51,8 @@
 struct State {
     now_us: u64,
     last_activity_us: u64,
+    /// The own time of the last response of the table, and the time that the table's clock had then.
+    table_clock: Option<(u64, u64)>,
     next_key: u64,
     outbound_owners: SortedMap<OutboundKey, &'static str>,
     local_requests: SortedMap<InboundKey, LocalRequest>,
@@ -67,6 +69,7 @@
         let state = State {
             now_us: 0,
             last_activity_us: 0,
+            table_clock: None,
             next_key: 0,
             outbound_owners: SortedMap::default(),
             local_requests: SortedMap::default(),
@@ -191,10 +194,19 @@
                 self.outbound_owners.remove(&key)?,
                 Event::PeerResponse { key, result },
             ),
-            Input::TableResponse { key, result } => (
-                self.outbound_owners.remove(&key)?,
-                Event::TableResponse { key, result },
-            ),
+            Input::TableResponse {
+                key,
+                result,
+                table_now_ms,
+            } => {
+                if let Some(table_now_ms) = table_now_ms {
+                    self.table_clock = Some((self.now_us, table_now_ms));
+                }
+                (
+                    self.outbound_owners.remove(&key)?,
+                    Event::TableResponse { key, result },
+                )
+            }
             Input::ObjectResponse { key, result } => (
                 self.outbound_owners.remove(&key)?,
                 Event::ObjectResponse { key, result },
--- a/src/kernel/input.rs
+++ b/src/kernel/input.rs
@@ -39,6 +39,9 @@
         key: OutboundKey,
         /// The response, or why there is none.
         result: Result<TableResponse, PlatformError>,
+        /// The time on the clock of the table, as in
+        /// [`TableStore::now_ms`](crate::table::TableStore::now_ms).
+        table_now_ms: Option<u64>,
     },
     /// The object store's response, for the service that sent the request.
     ObjectResponse {
--- a/src/quarantine/rows.rs
+++ b/src/quarantine/rows.rs
@@ -1,6 +1,9 @@
 //! The rows of the platform's table that keep quarantines for daemons that start later.
 
-use super::{QuarantineRecord, RequestFingerprint};
+use macro_rules_attribute::apply;
+
+use super::{CrashId, QuarantineRecord, RequestFingerprint};
+use crate::derives::message;
 use crate::table::{Expected, Row, TableRequest, TableWrite};
 
 /// The key prefix of the rows; the fingerprint of the request follows it.
@@ -9,6 +12,18 @@
 /// The number of rows that a start reads, more than daemons keep.
 const ROWS_MAX: u32 = 500;
 
+/// A quarantine in a row.
+#[apply(message!)]
+struct StoredQuarantine {
+    request: RequestFingerprint,
+    last_crash: CrashId,
+    /// How old the last end was when the row was written.
+    age_ms: u64,
+    /// When the row was written, on the clock of the table; `None` if that was not known.
+    #[serde(default)]
+    written_at_ms: Option<u64>,
+}
+
 fn row_key(request: &RequestFingerprint) -> String {
     format!("{ROW_PREFIX}{request}")
 }
@@ -22,9 +37,16 @@
     }
 }
 
-/// Returns the request that writes the row of a quarantined request.
-pub(super) fn write_request(record: &QuarantineRecord) -> TableRequest {
-    let value = serde_json::to_string(record).unwrap_or_default();
+/// Returns the request that writes the row of a quarantined request. `table_now_ms` is the time on the
+/// table's clock, if it is known.
+pub(super) fn write_request(record: &QuarantineRecord, table_now_ms: Option<u64>) -> TableRequest {
+    let stored = StoredQuarantine {
+        request: record.request,
+        last_crash: record.last_crash,
+        age_ms: record.age_ms,
+        written_at_ms: table_now_ms,
+    };
+    let value = serde_json::to_string(&stored).unwrap_or_default();
     change_request(&record.request, Some(value))
 }
 
@@ -44,11 +66,21 @@
     }
 }
 
-/// Returns the quarantine in a row.
+/// Returns the quarantine in a row. `table_now_ms` is the time on the table's clock; without it, or
+/// without the time of the write, the quarantine counts as old as it was when it was written.
 ///
 /// # Errors
 ///
 /// Fails if the value of the row is not a quarantine.
-pub(super) fn decode(row: &Row) -> serde_json::Result<QuarantineRecord> {
-    serde_json::from_str(&row.value)
+pub(super) fn decode(row: &Row, table_now_ms: Option<u64>) -> serde_json::Result<QuarantineRecord> {
+    let stored: StoredQuarantine = serde_json::from_str(&row.value)?;
+    let stored_for_ms = match (stored.written_at_ms, table_now_ms) {
+        (Some(written_ms), Some(now_ms)) => now_ms.saturating_sub(written_ms),
+        _ => 0,
+    };
+    Ok(QuarantineRecord {
+        request: stored.request,
+        last_crash: stored.last_crash,
+        age_ms: stored.age_ms.saturating_add(stored_for_ms),
+    })
 }
--- a/src/quarantine/service.rs
+++ b/src/quarantine/service.rs
@@ -197,7 +197,7 @@
             detail,
         ));
         if culprit.origin == self.own_id {
-            self.change_row(context, rows::write_request(&culprit.record));
+            self.write_row(context, &culprit.record);
         }
     }
 
@@ -258,7 +258,7 @@
             return;
         }
         for record in self.evidence.contents(context.now_us()).quarantines {
-            self.change_row(context, rows::write_request(&record));
+            self.write_row(context, &record);
         }
     }
 
--- a/src/quarantine/service/table_requests.rs
+++ b/src/quarantine/service/table_requests.rs
@@ -3,12 +3,15 @@
 use super::{Pending, Quarantine, Timer};
 use crate::ids::OutboundKey;
 use crate::kernel::{Context, StateChange};
-use crate::quarantine::{Records, rows};
+use crate::quarantine::{QuarantineRecord, Records, rows};
 use crate::table::{PlatformError, Row, TableRequest, TableResponse};
 
 /// The maximum pause before a request to the table is repeated.
 const TABLE_RETRY_MAX_MS: u32 = 5_000;
 
+/// How long a quarantine is kept that was over when its row was read.
+const OVER_ROW_KEPT_MS: u64 = 10_000;
+
 impl Quarantine {
     pub(super) fn read_rows(&mut self, context: &mut Context<'_>) {
         let request = rows::read_request();
@@ -20,6 +23,11 @@
         self.send_table_request(context, request, pending);
     }
 
+    pub(super) fn write_row(&mut self, context: &mut Context<'_>, record: &QuarantineRecord) {
+        let request = rows::write_request(record, context.table_now_ms());
+        self.change_row(context, request);
+    }
+
     fn send_table_request(
         &mut self,
         context: &mut Context<'_>,
@@ -57,8 +65,8 @@
         self.table_backoff.reset();
         let mut records = Records::default();
         for row in rows {
-            match rows::decode(row) {
-                Ok(record) => records.quarantines.push(record),
+            match rows::decode(row, context.table_now_ms()) {
+                Ok(record) => records.quarantines.push(self.keep_until_deleted(record)),
                 Err(error) => {
                     let detail = format!("{}: {error}", row.key);
                     context.log(StateChange::new("quarantine", "ignored a row", detail));
@@ -76,6 +84,17 @@
         self.merge(context, records);
     }
 
+    /// Returns a record that was read, but as one that is over soon if it was over before: the member
+    /// with the smallest identifier deletes its row then, when this daemon knows the members.
+    fn keep_until_deleted(&self, record: QuarantineRecord) -> QuarantineRecord {
+        let over_ms = 2 * u64::from(self.settings.refuse_ms);
+        let age_max_ms = over_ms.saturating_sub(OVER_ROW_KEPT_MS);
+        QuarantineRecord {
+            age_ms: record.age_ms.min(age_max_ms),
+            ..record
+        }
+    }
+
     fn repeat_later(
         &mut self,
         context: &mut Context<'_>,
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -480,6 +480,50 @@
     },
 }
 
+// Guards against a quarantine that begins anew whenever all daemons restart and read it back.
+#[test]
+fn quarantine_ends_although_all_daemons_restart() {
+    let mut network = routed_network();
+    repeat(&mut network, 1, 10 * SECOND_US, crashing_read);
+    let refuse_us = u64::from(settings().quarantine.refuse_ms) * 1_000;
+    let ends_us = network.nodes.iter().flat_map(|node| &node.target_ends_us);
+    let end_us = ends_us.max().unwrap() + refuse_us;
+    for part in 1..=3 {
+        network.run_until(end_us - refuse_us / 4 * (4 - part));
+        let first = network.nodes.len() - TARGETS;
+        restart(&mut network, first..first + TARGETS);
+    }
+    network.run_until(end_us - CONVERGENCE_US);
+    let entry = network.nodes.len() - 1;
+    let before = exchange(&mut network, entry, 10_000, crashing_read(10_000));
+    assert!(is_quarantined(&before), "{before:?}");
+    network.run_until(end_us + SECOND_US);
+    let after = exchange(&mut network, entry, 10_001, crashing_read(10_001));
+    assert!(!is_quarantined(&after), "{after:?}");
+}
+
+// Guards against a row that nobody deletes, since its quarantine was over before any daemon read it.
+#[test]
+fn row_of_a_quarantine_that_is_over_is_deleted_by_daemons_that_start_later() {
+    let mut network = routed_network();
+    repeat(&mut network, 1, 10 * SECOND_US, crashing_read);
+    for node in 0..TARGETS {
+        network.kill(node);
+    }
+    let has_row = |network: &Network| {
+        network
+            .rows
+            .keys()
+            .any(|key| key.starts_with("quarantine/"))
+    };
+    assert!(has_row(&network));
+    let refuse_us = u64::from(settings().quarantine.refuse_ms) * 1_000;
+    network.run_until(network.now_us + 3 * refuse_us);
+    restart(&mut network, 0..TARGETS);
+    network.run_until(network.now_us + 30 * SECOND_US);
+    assert!(!has_row(&network));
+}
+
 /// Checks that a request which came before reaches no target any more once daemons had time to learn
 /// of it.
 fn check_known_everywhere(network: &mut Network) {
--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -179,6 +179,8 @@
     pub route_reads: u64,
     pub table_reads: u64,
     pub table_writes: u64,
+    /// The time on the table's clock at the start; `None` if the table has no clock.
+    pub table_clock_zero_ms: Option<u64>,
     queue: BinaryHeap<Reverse<Scheduled>>,
     next_sequence: u64,
     next_inbound: u64,
@@ -207,6 +209,7 @@
             route_reads: 0,
             table_reads: 0,
             table_writes: 0,
+            table_clock_zero_ms: Some(1_000_000),
             queue: BinaryHeap::new(),
             next_sequence: 0,
             next_inbound: 0,
@@ -573,7 +576,13 @@
                 timeout_us,
             } => {
                 let (result, after_us) = self.handle_table_request(request, timeout_us);
-                self.schedule_input(after_us, node, Input::TableResponse { key, result });
+                let table_now_ms = self.table_now_ms(after_us);
+                let input = Input::TableResponse {
+                    key,
+                    result,
+                    table_now_ms,
+                };
+                self.schedule_input(after_us, node, input);
             }
             Effect::SendObjectRequest {
                 key,
@@ -749,6 +758,12 @@
         }
     }
 
+    /// Returns the time on the table's clock after a delay; the nodes' own clocks begin elsewhere.
+    fn table_now_ms(&self, after_us: u64) -> Option<u64> {
+        let zero_ms = self.table_clock_zero_ms?;
+        Some(zero_ms + (self.now_us + after_us) / 1_000)
+    }
+
     fn row_version(&self, number: u64) -> RowVersion {
         RowVersion {
             epoch: self.epoch,
