Split the records of the target's starts, and store departures first

After a restoration of the store a sidecar that waited for its turn to write its start again didn't store a new departure meanwhile; now a departure ends that wait, and rows with one are written again within 1 s as before. Checked by leaving_target, store_restore, silent_store and target_watch, which pass.

--- a/src/host/sidecar/stored_departures.rs
+++ b/src/host/sidecar/stored_departures.rs
@@ -47,7 +47,10 @@
             tokio::select! {
                 () = self.departure_recorded.notified() => {}
                 () = self.delay_of_recorded_start() => {}
-                Ok(()) = restorations.changed() => self.forget_storage().await,
+                Ok(()) = restorations.changed() => {
+                    self.forget_storage();
+                    continue;
+                }
             }
             while self.has_unstored_departures() {
                 match self.store_departures().await {
@@ -61,28 +64,37 @@
         }
     }
 
-    /// Waits until a start is recorded, and then for a random time.
+    /// Waits until something that is not urgent is to be stored, and then for a random time.
     async fn delay_of_recorded_start(&self) {
         self.start_recorded.notified().await;
         tokio::time::sleep(self.write_delay()).await;
     }
 
-    /// Counts all departures as not stored, because a restored store may have lost them, and waits
-    /// for a random time.
-    async fn forget_storage(&self) {
+    /// Counts everything as not stored, because a restored store may have lost it.
+    fn forget_storage(&self) {
         self.stored_revision.send_replace(0);
-        tokio::time::sleep(self.write_delay()).await;
+        self.start_recorded.notify_one();
     }
 
-    /// Returns a random delay for a write that all daemons may do at the same time.
+    /// Returns a random delay for a write that all daemons may do at the same time. Few of them know
+    /// of a departure.
     fn write_delay(&self) -> Duration {
+        let has_departures = lock(&self.watch).departures().has_any();
+        let spread_us = match has_departures {
+            true => REWRITE_SPREAD_US,
+            false => self.spread_of_all_us().max(REWRITE_SPREAD_US),
+        };
+        Duration::from_micros(rand::rng().random_range(0..=spread_us))
+    }
+
+    /// Returns the time in which all daemons may write a row each.
+    fn spread_of_all_us(&self) -> u64 {
         let members = self.node.inspect(|kernel| {
             let membership = kernel.find::<Membership>(membership::NAME);
             membership.map_or(1, |membership| membership.len())
         });
-        let all_us = u64::try_from(members).unwrap_or(u64::MAX) * 1_000_000 / ROWS_PER_S;
-        let delay_us = rand::rng().random_range(0..=all_us.max(REWRITE_SPREAD_US));
-        Duration::from_micros(delay_us)
+        let members = u64::try_from(members).unwrap_or(u64::MAX);
+        members.saturating_mul(1_000_000) / ROWS_PER_S
     }
 
     /// Watches for the end of a target of which an unknown start left, until the task is aborted: once
--- a/src/target.rs
+++ b/src/target.rs
@@ -1,15 +1,18 @@
 //! The target beside a daemon, as described by its announcements.
 
 mod condition;
+mod current_start;
 pub mod departure_row;
 mod departures;
+mod instance_record;
 mod signals;
 mod watch;
 
 pub use condition::{
     ConditionChange, ConditionTracker, RateLimitState, TargetCondition, TargetStart,
 };
-pub use departures::{Departures, InstanceStarts};
+pub use departures::Departures;
+pub use instance_record::InstanceStarts;
 pub use signals::{AnswerSignals, RateLimitSignal, RequestRate};
 pub use watch::{ReportOutcome, StoredOutcome, TargetReport, TargetWatch};
 
