--- a/tests/support/network.rs
+++ b/tests/support/network.rs
@@ -3,6 +3,11 @@
 
 #![allow(dead_code)]
 
+#[path = "network/platform.rs"]
+mod platform;
+#[path = "network/route_source.rs"]
+mod route_source;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::net::SocketAddr;
@@ -17,14 +22,12 @@
 use dragonflylug::operator::OperatorReply;
 use dragonflylug::peer::PeerRequest;
 use dragonflylug::request::{Answer, CallRequest, HttpRequest};
-use dragonflylug::routes::{RouteTable, RouteUpdate};
+use dragonflylug::routes::RouteTable;
 use dragonflylug::sorted::SortedMap;
-use dragonflylug::table::{
-    Epoch, Expected, ObjectRequest, ObjectResponse, PlatformError, Row, RowVersion, TableRequest,
-    TableResponse,
-};
+use dragonflylug::table::Epoch;
 use dragonflylug::target::{AnswerSignals, TargetStart};
 use dragonflylug::verdict::Verdict;
+use route_source::Watch;
 
 /// Returns the outcome of a request that reaches a fake target at a time, and how long it takes.
 pub type FakeTarget = Box<dyn FnMut(u64, &HttpRequest) -> (TargetOutcome, u64)>;
@@ -109,14 +112,6 @@
     Slow(u64),
 }
 
-/// A read of the route source that waits for a change.
-#[derive(Clone, Copy)]
-struct Watch {
-    key: OutboundKey,
-    began_us: u64,
-    timeout_us: u64,
-}
-
 enum Delivery {
     /// The wait of a read of the route source is over.
     WatchEnd(Watch),
@@ -327,105 +322,6 @@
         sum
     }
 
-    /// Responds to a read of the route table. A read that waits stays open until the end of its wait
-    /// or [`Network::publish_routes`].
-    fn read_routes(
-        &mut self,
-        node: usize,
-        key: OutboundKey,
-        after: Option<RowVersion>,
-        wait_us: u64,
-        timeout_us: u64,
-    ) {
-        self.route_reads += 1;
-        let result = match after {
-            _ if !(self.can_reach_routes)(node) => Err(PlatformError::NotApplied),
-            None if !self.are_routes_silent => Ok(RouteUpdate {
-                position: Some(self.route_position()),
-                table: self.route_table.clone(),
-            }),
-            _ => {
-                let watch = Watch {
-                    key,
-                    began_us: self.now_us,
-                    timeout_us,
-                };
-                self.nodes[node].watch = Some(watch);
-                let end_us = self.now_us + wait_us.max(self.delay_us);
-                self.schedule(end_us, node, Delivery::WatchEnd(watch));
-                return;
-            }
-        };
-        self.schedule_input(self.delay_us, node, Input::RoutesRead { key, result });
-    }
-
-    fn route_position(&self) -> RowVersion {
-        self.row_version(self.route_changes)
-    }
-
-    /// Answers a read whose wait is over, or lets it time out if the source was silent meanwhile.
-    fn end_watch(&mut self, node: usize, watch: Watch) {
-        let is_lost = self.is_watch_lost(&watch);
-        let key = watch.key;
-        let result = match is_lost {
-            true => Err(PlatformError::Lost),
-            false => Ok(RouteUpdate {
-                position: Some(self.route_position()),
-                table: None,
-            }),
-        };
-        let left_us = match is_lost {
-            true => (watch.began_us + watch.timeout_us).saturating_sub(self.now_us),
-            false => 0,
-        };
-        self.schedule_input(left_us, node, Input::RoutesRead { key, result });
-    }
-
-    fn is_watch_lost(&self, watch: &Watch) -> bool {
-        let lost_us = self.watches_lost_us;
-        self.are_routes_silent || lost_us.is_some_and(|lost_us| watch.began_us <= lost_us)
-    }
-
-    /// Makes the route source answer no read, or answer reads again that begin from now on.
-    pub fn set_routes_silent(&mut self, is_silent: bool) {
-        self.are_routes_silent = is_silent;
-        self.watches_lost_us = Some(self.now_us);
-    }
-
-    /// Restores the route source from an older copy: its versions are assigned again, and reads that
-    /// are open stay without an answer.
-    pub fn restore_routes(&mut self) {
-        self.epoch.0 += 1;
-        self.watches_lost_us = Some(self.now_us);
-    }
-
-    /// Changes the route table; nodes that wait for a change in this epoch are told of it.
-    pub fn publish_routes(&mut self, table: RouteTable) {
-        self.route_table = Some(table);
-        self.route_changes += 1;
-        let update = RouteUpdate {
-            position: Some(self.route_position()),
-            table: self.route_table.clone(),
-        };
-        for node in 0..self.nodes.len() {
-            let Some(watch) = self.nodes[node].watch else {
-                continue;
-            };
-            if !(self.can_reach_routes)(node) || self.is_watch_lost(&watch) {
-                continue;
-            }
-            let (key, result) = (watch.key, Ok(update.clone()));
-            self.schedule_input(self.delay_us, node, Input::RoutesRead { key, result });
-        }
-    }
-
-    /// Delivers an update of the route table to a node that watches the table.
-    pub fn deliver_route_update(&mut self, node: usize, update: RouteUpdate) {
-        let watch = self.nodes[node].watch.expect("the node watches the table");
-        let (key, result) = (watch.key, Ok(update));
-        self.deliver(node, Input::RoutesRead { key, result });
-    }
-
     fn process(&mut self, scheduled: Scheduled) {
         let node = &self.nodes[scheduled.node];
         if !node.is_up {
@@ -733,149 +629,6 @@
             Input::Event(dragonflylug::calls::guard::NAME, event),
         );
     }
-
-    fn handle_table_request(
-        &mut self,
-        request: TableRequest,
-        timeout_us: u64,
-    ) -> (Result<TableResponse, PlatformError>, u64) {
-        match self.platform_fault {
-            PlatformFault::Down | PlatformFault::TableDown => {
-                (Err(PlatformError::NotApplied), self.delay_us)
-            }
-            PlatformFault::None => (Ok(self.apply_table_request(request)), 2 * self.delay_us),
-            PlatformFault::ResponseLost => {
-                self.apply_table_request(request);
-                (Err(PlatformError::Lost), timeout_us)
-            }
-            PlatformFault::Slow(latency_us) => {
-                let response = self.apply_table_request(request);
-                if latency_us > timeout_us {
-                    return (Err(PlatformError::Lost), timeout_us);
-                }
-                (Ok(response), latency_us)
-            }
-        }
-    }
-
-    /// Returns the time on the table's clock after a delay; the nodes' own clocks begin elsewhere.
-    fn table_now_ms(&self, after_us: u64) -> Option<u64> {
-        let zero_ms = self.table_clock_zero_ms?;
-        Some(zero_ms + (self.now_us + after_us) / 1_000)
-    }
-
-    fn row_version(&self, number: u64) -> RowVersion {
-        RowVersion {
-            epoch: self.epoch,
-            number,
-        }
-    }
-
-    fn apply_table_request(&mut self, request: TableRequest) -> TableResponse {
-        match request {
-            TableRequest::Get { keys } => {
-                self.table_reads += 1;
-                let read = self.stale_rows.as_ref().unwrap_or(&self.rows);
-                let row = |key: &String| {
-                    let (version, value) = read.get(key)?;
-                    Some(Row {
-                        key: key.clone(),
-                        version: self.row_version(*version),
-                        value: value.clone(),
-                    })
-                };
-                TableResponse::Rows(keys.iter().filter_map(row).collect())
-            }
-            TableRequest::Scan {
-                prefix,
-                after,
-                limit,
-            } => {
-                self.table_reads += 1;
-                let mut rows = Vec::new();
-                let read = self.stale_rows.as_ref().unwrap_or(&self.rows);
-                for (key, (version, value)) in read.iter() {
-                    if !key.starts_with(&prefix) || after.as_ref().is_some_and(|last| key <= last) {
-                        continue;
-                    }
-                    if rows.len() == limit as usize {
-                        break;
-                    }
-                    let (key, value) = (key.clone(), value.clone());
-                    rows.push(Row {
-                        key,
-                        version: self.row_version(*version),
-                        value,
-                    });
-                }
-                TableResponse::Rows(rows)
-            }
-            TableRequest::Write { writes } => {
-                self.table_writes += 1;
-                let mut current = Vec::new();
-                let mut are_versions_expected = true;
-                for write in &writes {
-                    let row = self.rows.get(&write.key);
-                    are_versions_expected &= match write.expected {
-                        Expected::Any => true,
-                        Expected::Absent => row.is_none(),
-                        Expected::Version(version) => {
-                            row.is_some_and(|row| self.row_version(row.0) == version)
-                        }
-                    };
-                    if let Some((version, value)) = row {
-                        let (key, value) = (write.key.clone(), value.clone());
-                        current.push(Row {
-                            key,
-                            version: self.row_version(*version),
-                            value,
-                        });
-                    }
-                }
-                if !are_versions_expected {
-                    return TableResponse::Conflict(current);
-                }
-                let mut versions = Vec::new();
-                for write in writes {
-                    self.next_version += 1;
-                    versions.push(self.row_version(self.next_version));
-                    match write.value {
-                        Some(value) => {
-                            self.rows.insert(write.key, (self.next_version, value));
-                        }
-                        None => {
-                            self.rows.remove(&write.key);
-                        }
-                    }
-                }
-                TableResponse::Written(versions)
-            }
-        }
-    }
-
-    fn handle_object_request(
-        &mut self,
-        request: ObjectRequest,
-        timeout_us: u64,
-    ) -> (Result<ObjectResponse, PlatformError>, u64) {
-        if self.platform_fault == PlatformFault::Down {
-            return (Err(PlatformError::NotApplied), self.delay_us);
-        }
-        let response = match request {
-            ObjectRequest::Get { name } => match self.objects.get(&name) {
-                Some(content) => ObjectResponse::Content(content.clone()),
-                None => ObjectResponse::Missing,
-            },
-            ObjectRequest::Put { name, content } => {
-                self.objects.insert(name, content);
-                ObjectResponse::Written
-            }
-        };
-        if self.platform_fault == PlatformFault::ResponseLost {
-            return (Err(PlatformError::Lost), timeout_us);
-        }
-        (Ok(response), 2 * self.delay_us)
-    }
 }
 
 /// An empty answer with status 200.
