Give the reading of the table's clock a type

No behaviour changes: kernel, quarantine, routes, leaving_target, silent_store and store_restore pass.

--- a/src/kernel.rs
+++ b/src/kernel.rs
@@ -23,6 +23,7 @@
 use crate::ids::{InboundKey, OutboundKey};
 use crate::routes;
 use crate::sorted::SortedMap;
+use crate::table::StoreTime;
 use registry::Registry;
 use timers::Timers;
 
@@ -51,8 +52,8 @@
 struct State {
     now_us: u64,
     last_activity_us: u64,
-    /// The own time of the last response of the table, and the time that the table's clock had then.
-    table_clock: Option<(u64, u64)>,
+    /// The clock of the table at its last response.
+    table_time: Option<StoreTime>,
     next_key: u64,
     outbound_owners: SortedMap<OutboundKey, &'static str>,
     local_requests: SortedMap<InboundKey, LocalRequest>,
@@ -69,7 +70,7 @@
         let state = State {
             now_us: 0,
             last_activity_us: 0,
-            table_clock: None,
+            table_time: None,
             next_key: 0,
             outbound_owners: SortedMap::default(),
             local_requests: SortedMap::default(),
@@ -199,8 +200,9 @@
                 result,
                 table_now_ms,
             } => {
-                if let Some(table_now_ms) = table_now_ms {
-                    self.table_clock = Some((self.now_us, table_now_ms));
+                if let Some(store_ms) = table_now_ms {
+                    let own_us = self.now_us;
+                    self.table_time = Some(StoreTime { store_ms, own_us });
                 }
                 (
                     self.outbound_owners.remove(&key)?,
--- a/src/kernel/context.rs
+++ b/src/kernel/context.rs
@@ -30,8 +30,8 @@
     /// Returns the current time in milliseconds on the clock of the platform's table, which all
     /// daemons share; `None` if the table has none or gave no response yet.
     pub fn table_now_ms(&self) -> Option<u64> {
-        let (at_us, table_ms) = self.state.table_clock?;
-        Some(table_ms + self.state.now_us.saturating_sub(at_us) / 1_000)
+        let table_time = self.state.table_time?;
+        Some(table_time.at_ms(self.state.now_us))
     }
 
     /// Returns the node's seeded random number generator.
--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -205,7 +205,7 @@
     }
 
     /// Compares the state of the source with some peers, chosen at random.
-    pub(super) fn compare_states(&mut self, context: &mut Context<'_>, count: usize) {
+    fn compare_states(&mut self, context: &mut Context<'_>, count: usize) {
         let membership = context.find::<Membership>(membership::NAME);
         let mut addresses = Vec::new();
         if let Some(membership) = membership {
--- a/src/routes/watch.rs
+++ b/src/routes/watch.rs
@@ -39,6 +39,7 @@
 }
 
 impl SourceWatch {
+    /// Returns how long ago the source responded to a daemon, as far as this one knows.
     pub(super) fn response_age_ms(&self, now_us: u64) -> Option<u32> {
         let age_us = now_us.saturating_sub(self.response_us?);
         u32::try_from(age_us / 1_000).ok()
--- a/src/table.rs
+++ b/src/table.rs
@@ -66,6 +66,23 @@
     }
 }
 
+/// A reading of the steady clock of the store, which all daemons share and which goes on while they
+/// restart.
+#[apply(value!)]
+pub struct StoreTime {
+    /// The time on the clock of the store.
+    pub store_ms: u64,
+    /// The time on the daemon's own clock at the reading.
+    pub own_us: u64,
+}
+
+impl StoreTime {
+    /// Returns the time on the clock of the store at a time on the own clock.
+    pub fn at_ms(self, own_us: u64) -> u64 {
+        self.store_ms + own_us.saturating_sub(self.own_us) / 1_000
+    }
+}
+
 /// A request to the table service.
 #[apply(message!)]
 #[serde(rename_all = "snake_case")]
