--- a/src/routes/service.rs
+++ b/src/routes/service.rs
@@ -35,7 +35,8 @@
     pub poll_slack_ms: u32,
     /// The number of daemons in each availability zone that poll the source.
     pub pollers_per_zone: usize,
-    /// The rate at which all daemons together read the source again after a failure or a restoration.
+    /// The rate at which daemons, all together, begin to read the source again after a failure or a
+    /// restoration; each may send two reads then.
     pub reads_per_s_max: u32,
     /// The minimum delay before the source is read again after a first failure, and the maximum one
     /// after its history was lost.
